--- /dev/null
+++ b/packages/base/src/errors.ts
@@ -0,0 +1,34 @@
+/** Errors that say at which step, and with which peer, they arose. */
+
+/** An error with the step that failed and the peer that took part in it. */
+export class StepError extends Error {
+	override readonly name: string = 'StepError';
+
+	/** The operation that failed, such as `read head`. */
+	readonly step: string;
+
+	/** The process at the other end, such as `platform http://10.0.0.1:7000`. */
+	readonly peer: string;
+
+	constructor(step: string, peer: string, reason: string, options?: {cause?: unknown}) {
+		super(`${step} (${peer}): ${reason}`, options);
+		this.step = step;
+		this.peer = peer;
+	}
+}
+
+/** An operation whose effect is unknown: the answer was lost. */
+export class OutcomeUnknownError extends StepError {
+	override readonly name = 'OutcomeUnknownError';
+}
+
+/** Returns the message of anything that was thrown. */
+export function describeError(error: unknown): string {
+	if (error instanceof Error) {
+		const {code} = (error as NodeJS.ErrnoException);
+		const text = error.message || error.name;
+		return code && !text.includes(code) ? `${code}: ${text}` : text;
+	}
+
+	return String(error);
+}
--- /dev/null
+++ b/packages/base/src/logs.ts
@@ -0,0 +1,21 @@
+/** Loggers with a fixed prefix for each part of a process. */
+import {pino, type Logger as PinoLogger} from 'pino';
+
+/** Levels that the settings may name. */
+export const logLevels = ['debug', 'info', 'warn', 'error', 'silent'] as const;
+
+/** One of the log levels. */
+export type LogLevel = typeof logLevels[number];
+
+/** The logger type that the packages take. */
+export type Logger = PinoLogger;
+
+/** Makes the root logger of a process; it writes JSON lines to standard output. */
+export function createLogger(level: LogLevel, bindings: Record<string, string> = {}): Logger {
+	return pino({level, base: bindings, timestamp: pino.stdTimeFunctions.isoTime});
+}
+
+/** Makes a logger whose messages all start with `[part]`. */
+export function createPartLogger(root: Logger, part: string): Logger {
+	return root.child({}, {msgPrefix: `[${part}] `});
+}
--- /dev/null
+++ b/packages/bench/src/fleet.ts
@@ -0,0 +1,241 @@
+/** Starts a platform, upstreams and nodes as processes on the loopback address, and stops them by their ids. */
+import {spawn, type ChildProcess} from 'node:child_process';
+import {mkdtempSync, writeFileSync, openSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {type UpstreamStandInOptions} from '@ebonylead/stand-ins/upstream-stand-in.js';
+import {request} from 'undici';
+
+/** An upstream with the node beside it. */
+export type Place = {
+	readonly id: string;
+	readonly dataCentre: string;
+	readonly region: string;
+
+	/** Empty for a node without an upstream. */
+	readonly service: string;
+	readonly slots: number;
+	readonly serviceTime: number;
+};
+
+/** What a fleet consists of. */
+export type FleetOptions = {
+	readonly deployment: string;
+	readonly places: readonly Place[];
+
+	/** First of the ports that the fleet uses. */
+	readonly basePort: number;
+	readonly spreading?: 'convergence' | 'bytes';
+	readonly logLevel?: string;
+	readonly program?: readonly string[];
+
+	/** Starts nodes only, without upstreams. */
+	readonly isBare?: boolean;
+};
+
+/** Ports of a node. */
+export type NodePorts = {
+	readonly callers: number;
+	readonly mesh: number;
+	readonly peers: number;
+	readonly operators: number;
+	readonly announcements: number;
+};
+
+const portsPerPlace = 6;
+const connectionsPerUpstream = 130;
+const readyPoll = 50;
+const host = '127.0.0.1';
+
+/** A fleet of processes. */
+export class Fleet {
+	readonly options: FleetOptions;
+	readonly directory = mkdtempSync(path.join(tmpdir(), 'ebonylead-fleet-'));
+	readonly #children = new Map<string, ChildProcess>();
+
+	constructor(options: FleetOptions) {
+		this.options = options;
+	}
+
+	/** Address of the platform. */
+	get platformUrl(): string {
+		return `http://${host}:${this.options.basePort}`;
+	}
+
+	/** Starts the platform, then all upstreams and nodes. */
+	async start(): Promise<void> {
+		await this.startPlatform();
+		for (const place of this.options.places) {
+			this.startPlace(place);
+		}
+	}
+
+	/** Starts the platform and waits until it answers. */
+	async startPlatform(): Promise<void> {
+		this.#spawn('platform', [process.execPath, 'dist/stand-ins.cjs', 'platform', String(this.options.basePort)]);
+		await waitUntil(async () => {
+			await this.readPlatformCounts();
+			return true;
+		}, 5000);
+	}
+
+	/** Starts an upstream and the node beside it. */
+	startPlace(place: Place): void {
+		this.startNode(place);
+		if (!this.options.isBare && place.service !== '') {
+			this.startUpstream(place);
+		}
+	}
+
+	/** Starts the upstream of a place. */
+	startUpstream(place: Place): void {
+		const options: UpstreamStandInOptions = {
+			id: place.id,
+			port: this.getUpstreamPort(place),
+			service: place.service,
+			slots: place.slots,
+			connections: connectionsPerUpstream,
+			serviceTime: place.serviceTime,
+			announceUrl: `http://${host}:${this.getPorts(place).announcements}/announce`,
+			isCrashable: true,
+		};
+		this.#spawn(`upstream ${place.id}`, [process.execPath, 'dist/stand-ins.cjs', 'upstream', JSON.stringify(options)]);
+	}
+
+	/** Starts the node of a place. */
+	startNode(place: Place): void {
+		const file = path.join(this.directory, `${place.id}.json`);
+		writeFileSync(file, JSON.stringify({
+			deployment: this.options.deployment,
+			node: {
+				id: place.id, host, dataCentre: place.dataCentre, region: place.region,
+			},
+			listeners: this.getPorts(place),
+			platform: {url: this.platformUrl},
+			spreading: this.options.spreading ?? 'convergence',
+			logLevel: this.options.logLevel ?? 'warn',
+		}));
+		const program = this.options.program ?? [process.execPath, 'dist/ebonylead.cjs'];
+		this.#spawn(`node ${place.id}`, [...program, 'node', '--settings', file]);
+	}
+
+	/** Returns the ports of a place's node. */
+	getPorts(place: Place): NodePorts {
+		const first = this.options.basePort + 10 + (this.options.places.indexOf(place) * portsPerPlace);
+		return {
+			callers: first, mesh: first + 1, peers: first + 2, operators: first + 3, announcements: first + 4,
+		};
+	}
+
+	/** Returns the port of a place's upstream. */
+	getUpstreamPort(place: Place): number {
+		return this.getPorts(place).callers + 5;
+	}
+
+	/** Returns the address of a place's operator listener. */
+	getOperatorUrl(place: Place): string {
+		return `http://${host}:${this.getPorts(place).operators}`;
+	}
+
+	/** Returns the process id of `node ID` or `upstream ID`. */
+	getPid(name: string): number | undefined {
+		return this.#children.get(name)?.pid;
+	}
+
+	/** Sends a signal to a process. */
+	signal(name: string, signal: NodeJS.Signals): void {
+		this.#children.get(name)?.kill(signal);
+	}
+
+	/** Waits until a process has ended. */
+	async waitForEnd(name: string): Promise<number | undefined> {
+		const child = this.#children.get(name);
+		if (child?.exitCode !== null || child.signalCode !== null) {
+			return child?.exitCode ?? undefined;
+		}
+
+		return new Promise(resolve => {
+			child.once('exit', code => {
+				resolve(code ?? undefined);
+			});
+		});
+	}
+
+	/** Tells the platform which faults to cause. */
+	async setPlatformFaults(faults: Record<string, unknown>): Promise<void> {
+		const response = await request(`${this.platformUrl}/faults`, {method: 'POST', body: JSON.stringify(faults)});
+		await response.body.dump();
+	}
+
+	/** Reads how many operations the platform ran. */
+	async readPlatformCounts(): Promise<{reads: number; writes: number}> {
+		const response = await request(`${this.platformUrl}/counts`);
+		return await response.body.json() as {reads: number; writes: number};
+	}
+
+	/** Reads the metrics of a node by name; values of one name are added up. */
+	async readMetrics(place: Place): Promise<Map<string, number>> {
+		const response = await request(`${this.getOperatorUrl(place)}/metrics`);
+		const metrics = new Map<string, number>();
+		const text = await response.body.text();
+		for (const line of text.split('\n')) {
+			const match = /^(\w+)(?:\{.*\})? (\S+)$/v.exec(line);
+			if (match) {
+				metrics.set(match[1]!, (metrics.get(match[1]!) ?? 0) + Number(match[2]));
+			}
+		}
+
+		return metrics;
+	}
+
+	/** Waits until every node serves and knows a count of members. */
+	async waitUntilReady(memberCount: number, timeout: number): Promise<void> {
+		await Promise.all(this.options.places.map(async place => waitUntil(async () => {
+			const metrics = await this.readMetrics(place);
+			return metrics.get('ebonylead_ready') === 1 && metrics.get('ebonylead_members') === memberCount;
+		}, timeout)));
+	}
+
+	/** Ends every process that this fleet started. */
+	async stop(): Promise<void> {
+		for (const child of this.#children.values()) {
+			child.kill('SIGKILL');
+		}
+
+		await Promise.all([...this.#children.keys()].map(async name => this.waitForEnd(name)));
+	}
+
+	#spawn(name: string, [command, ...options]: readonly string[]): void {
+		const log = openSync(path.join(this.directory, `${name.replaceAll(' ', '-')}.log`), 'a');
+		const child = spawn(command!, options, {stdio: ['ignore', log, log], env: {...process.env, UV_USE_IO_URING: '0'}});
+		this.#children.set(name, child);
+	}
+}
+
+/** Waits until a check holds; an error counts as not yet. */
+export async function waitUntil(check: () => Promise<boolean>, timeout: number): Promise<void> {
+	const end = Date.now() + timeout;
+	for (;;) {
+		try {
+			if (await check()) {
+				return;
+			}
+		} catch {
+			// The process may not listen yet.
+		}
+
+		if (Date.now() > end) {
+			throw new Error(`a condition did not hold within ${timeout} ms`);
+		}
+
+		await delay(readyPoll);
+	}
+}
+
+/** Waits for a time in milliseconds. */
+export async function delay(duration: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, duration);
+	});
+}
--- /dev/null
+++ b/packages/callers/src/call-metrics.ts
@@ -0,0 +1,46 @@
+/** Counts and times of calls, for Prometheus. */
+import {Counter, Histogram, type Registry} from 'prom-client';
+
+/** How a call ended, for the metrics. */
+export const callResults = {
+	answered: 'answered',
+	notRun: 'not-run',
+	unknown: 'unknown',
+	cut: 'cut',
+	callerLeft: 'caller-left',
+} as const;
+
+/** One of the results. */
+export type CallResult = typeof callResults[keyof typeof callResults];
+
+const durationBuckets = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10];
+
+/** Metrics of the first hop. Labels are services, so that their count is bounded by the rules. */
+export class CallMetrics {
+	readonly #calls: Counter;
+	readonly #tries: Counter;
+	readonly #durations: Histogram;
+
+	constructor(registry: Registry) {
+		this.#calls = new Counter({
+			name: 'ebonylead_calls_total', help: 'Calls from callers by service and result.', labelNames: ['service', 'result'], registers: [registry],
+		});
+		this.#tries = new Counter({
+			name: 'ebonylead_call_retries_total', help: 'Tries after the first one by service.', labelNames: ['service'], registers: [registry],
+		});
+		this.#durations = new Histogram({
+			name: 'ebonylead_call_duration_seconds', help: 'Time of a call from its arrival to its end.', labelNames: ['service'], buckets: durationBuckets, registers: [registry],
+		});
+	}
+
+	/** Notes a retry. */
+	recordRetry(service: string): void {
+		this.#tries.inc({service});
+	}
+
+	/** Notes the end of a call; the duration is in milliseconds. */
+	recordCall(service: string, result: CallResult, duration: number): void {
+		this.#calls.inc({service, result});
+		this.#durations.observe({service}, duration / 1000);
+	}
+}
--- /dev/null
+++ b/packages/callers/src/call.ts
@@ -0,0 +1,321 @@
+/** One call, from its arrival to its end, with all its tries. */
+import {Buffer} from 'node:buffer';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {describeError} from '@ebonylead/base/errors.js';
+import {type Member} from '@ebonylead/peers/generated/peers.js';
+import {type Route} from '@ebonylead/rules/route-table.js';
+import {type Applied} from '@ebonylead/rules/applied-version.js';
+import {
+	copyRequestHeaders, forwardRequest, ProgressTimeoutError, type AnswerHeaders, type ForwardResult,
+} from '@ebonylead/upstreams/forward.js';
+import {hasBody, readCount, readHeader} from '@ebonylead/upstreams/mesh-listener.js';
+import {sendRefusal} from '@ebonylead/upstreams/refusals.js';
+import {meshHeaders, outcomes, type Refusal} from '@ebonylead/upstreams/upstreams.js';
+import {callResults, type CallResult} from './call-metrics.js';
+import {type CallerParts} from './callers.js';
+import {readRequestTarget, type RequestTarget} from './request-target.js';
+
+/** Bodies up to this size in bytes are kept, so that a retry can send them again. */
+const maxKeptBody = 64 * 1024;
+
+/** Most tries of one call. */
+const maxTries = 3;
+
+/** Share of the deadline that an idempotent try may pass without a byte of the answer. */
+const idempotentProgressShare = 0.5;
+const minProgressTimeout = 50;
+const defaultRetryAfter = 200;
+const percentTotal = 100;
+
+const statusBadRequest = 400;
+const statusNotFound = 404;
+const statusBadGateway = 502;
+const statusUnavailable = 503;
+const statusTimeout = 504;
+const retryableStatuses: ReadonlySet<number> = new Set([502, 503, 504]);
+
+/** What a try leads to. */
+type NextStep = 'done' | 'retry' | Refusal;
+
+/** Runs one call under the snapshot that was in force when it arrived. */
+export class Call {
+	readonly #parts: CallerParts;
+	readonly #request: IncomingMessage;
+	readonly #response: ServerResponse;
+	readonly #applied: Applied;
+	readonly #startedAt: number;
+	readonly #controller = new AbortController();
+	readonly #tried = new Set<string>();
+	#headers: Record<string, string | string[]> = {};
+	#deadline = 0;
+	#service = '';
+	#result: CallResult = callResults.notRun;
+	#mayHaveRun = false;
+	#lastRefusal: Refusal = {status: statusUnavailable, outcome: outcomes.notRun, reason: 'no try was made'};
+
+	constructor(parts: CallerParts, request: IncomingMessage, response: ServerResponse) {
+		this.#parts = parts;
+		this.#request = request;
+		this.#response = response;
+		this.#applied = parts.applied.current;
+		this.#startedAt = parts.clock.now();
+	}
+
+	/** Runs the call to its end. */
+	async run(): Promise<void> {
+		const target = readRequestTarget(this.#request.url ?? '', this.#request.headers.host);
+		await target.caseOf({
+			Left: async reason => {
+				this.#refuse({status: statusBadRequest, outcome: outcomes.notRun, reason});
+			},
+			Right: async found => this.#runRoute(found),
+		});
+	}
+
+	async #runRoute(target: RequestTarget): Promise<void> {
+		const route = this.#applied.routes.findRoute({method: this.#request.method ?? 'GET', headers: this.#request.headers, ...target});
+		if (route === undefined) {
+			this.#refuse({status: statusNotFound, outcome: outcomes.notRun, reason: `no rule of version ${this.#version} matches ${this.#request.method} ${target.host}${target.path}`});
+			return;
+		}
+
+		this.#service = this.#pickService(route);
+		this.#deadline = Math.min(route.rule.deadline, readCount(this.#request, meshHeaders.deadline) ?? route.rule.deadline);
+		const timer = setTimeout(() => {
+			this.#controller.abort(new Error('the deadline passed'));
+		}, this.#deadline);
+		this.#response.on('close', this.#handleCallerClose);
+		try {
+			await this.#runTries(route);
+		} finally {
+			clearTimeout(timer);
+			this.#parts.metrics.recordCall(this.#service, this.#result, this.#parts.clock.now() - this.#startedAt);
+		}
+	}
+
+	async #runTries(route: Route): Promise<void> {
+		const body = await this.#readBody();
+		if (this.#controller.signal.aborted) {
+			this.#refuse({status: statusTimeout, outcome: outcomes.notRun, reason: 'the body did not come whole before the deadline'});
+			return;
+		}
+
+		this.#headers = copyRequestHeaders(this.#request.headers);
+		this.#headers[meshHeaders.requestId] ??= createRequestId(this.#parts.random);
+		this.#parts.budget.recordCall(this.#service);
+		const inheritedAttempt = readCount(this.#request, meshHeaders.attempt) ?? 1;
+		for (let number = 1; ; number++) {
+			const step = await this.#runTry(route, body, inheritedAttempt + number - 1);
+			if (step === 'done') {
+				return;
+			}
+
+			const isLast = number >= maxTries || body === this.#request || !this.#mayRetry(inheritedAttempt);
+			if (step === 'retry' && !isLast) {
+				this.#parts.metrics.recordRetry(this.#service);
+				continue;
+			}
+
+			this.#refuse(step === 'retry' ? this.#lastRefusal : step);
+			return;
+		}
+	}
+
+	/** A call below a retried one does not retry itself, so that retries don't multiply down a chain. */
+	#mayRetry(inheritedAttempt: number): boolean {
+		return inheritedAttempt === 1 && !this.#controller.signal.aborted && this.#parts.budget.takeRetry(this.#service);
+	}
+
+	async #runTry(route: Route, body: Buffer | IncomingMessage | undefined, attempt: number): Promise<NextStep> {
+		const {chooser, pools} = this.#parts;
+		const member = chooser.choose(this.#service, route.rule.prefer, this.#tried);
+		if (member === undefined) {
+			return this.#tried.size > 0
+				? this.#lastRefusal
+				: {
+					status: statusUnavailable, outcome: outcomes.notRun, reason: `no upstream of "${this.#service}" is ready`, retryAfter: defaultRetryAfter,
+				};
+		}
+
+		this.#tried.add(member.id);
+		chooser.recordStart(member);
+		const startedAt = Date.now();
+		const origin = `http://${member.host}:${member.meshPort}`;
+		const result = await forwardRequest({
+			dispatcher: pools.open(origin),
+			origin,
+			method: this.#request.method ?? 'GET',
+			path: this.#request.url ?? '/',
+			headers: this.#buildHeaders(route, attempt),
+			body,
+			response: this.#response,
+			signal: this.#controller.signal,
+			progressTimeout: this.#pickProgressTimeout(route),
+			isWanted: (status, headers) => this.#isWanted(route, status, headers),
+			buildExtraHeaders: () => ({[meshHeaders.version]: String(this.#version)}),
+			isMeshHeaderDropped: false,
+		});
+		this.#recordEnd(member, origin, startedAt, result);
+		return this.#decide(route, member, result);
+	}
+
+	/** Says whether an answer goes to the caller: refusals don't, and neither do failures that may be tried again. */
+	#isWanted(route: Route, status: number, headers: AnswerHeaders): boolean {
+		if (headers[meshHeaders.outcome] !== undefined) {
+			return false;
+		}
+
+		return !(route.rule.idempotent && retryableStatuses.has(status) && this.#tried.size < maxTries);
+	}
+
+	#decide(route: Route, member: Member, result: ForwardResult): NextStep {
+		switch (result.kind) {
+			case 'answered': {
+				this.#result = callResults.answered;
+				return 'done';
+			}
+
+			case 'cut': {
+				this.#result = callResults.cut;
+				this.#parts.log.warn(`Cut an answer of "${member.id}": ${describeError(result.error)}`);
+				return 'done';
+			}
+
+			case 'unsent': {
+				this.#lastRefusal = {
+					status: statusUnavailable, outcome: outcomes.notRun, reason: `"${member.id}" can not be reached: ${describeError(result.error)}`, retryAfter: defaultRetryAfter,
+				};
+				return 'retry';
+			}
+
+			case 'rejected': {
+				this.#lastRefusal = readRefusal(result.status, result.headers);
+				this.#mayHaveRun ||= this.#lastRefusal.outcome === outcomes.unknown;
+				return this.#lastRefusal.outcome === outcomes.notRun || route.rule.idempotent ? 'retry' : this.#lastRefusal;
+			}
+
+			case 'unanswered': {
+				this.#mayHaveRun = true;
+				const status = this.#controller.signal.aborted ? statusTimeout : statusBadGateway;
+				this.#lastRefusal = {status, outcome: outcomes.unknown, reason: `"${member.id}" did not answer: ${describeError(result.error)}`};
+				return route.rule.idempotent ? 'retry' : this.#lastRefusal;
+			}
+		}
+	}
+
+	#recordEnd(member: Member, origin: string, startedAt: number, result: ForwardResult): void {
+		const {chooser, pools} = this.#parts;
+		const isFailure = result.kind === 'unsent' || result.kind === 'unanswered' || result.kind === 'cut';
+		const load = 'headers' in result ? Number(result.headers[meshHeaders.load]) : undefined;
+		chooser.recordEnd(member, isFailure && !this.#controller.signal.aborted, load);
+		if (result.kind === 'unsent' && !this.#controller.signal.aborted) {
+			chooser.recordUnreachable(member);
+		}
+
+		if ('headers' in result) {
+			pools.recordAnswer(origin);
+		}
+
+		const isTimeout = result.kind === 'unanswered' && (result.error instanceof ProgressTimeoutError || this.#controller.signal.aborted);
+		if (isTimeout && this.#result !== callResults.callerLeft) {
+			pools.retireIfSilent(origin, startedAt);
+		}
+	}
+
+	#buildHeaders(route: Route, attempt: number): Record<string, string | string[]> {
+		const left = Math.max(1, Math.floor(this.#deadline - (this.#parts.clock.now() - this.#startedAt)));
+		const headers: Record<string, string | string[]> = {
+			...this.#headers,
+			[meshHeaders.deadline]: String(left),
+			[meshHeaders.attempt]: String(attempt),
+			[meshHeaders.caller]: readHeader(this.#request, meshHeaders.caller) ?? this.#request.socket.remoteAddress ?? '',
+			[meshHeaders.route]: route.key,
+		};
+		if (route.rule.slots !== undefined) {
+			headers[meshHeaders.routeSlots] = String(route.rule.slots);
+		}
+
+		return headers;
+	}
+
+	#pickProgressTimeout(route: Route): number {
+		return route.rule.idempotent ? Math.max(minProgressTimeout, this.#deadline * idempotentProgressShare) : this.#deadline;
+	}
+
+	#pickService(route: Route): string {
+		const {split} = route.rule;
+		if (split.length === 1) {
+			return split[0]!.service;
+		}
+
+		let point = this.#parts.random.next() * percentTotal;
+		for (const share of split) {
+			point -= share.weight;
+			if (point < 0) {
+				return share.service;
+			}
+		}
+
+		return split.at(-1)!.service;
+	}
+
+	/** Reads a small body whole; a large one, or one of unknown length, is streamed and never sent twice. */
+	async #readBody(): Promise<Buffer | IncomingMessage | undefined> {
+		if (!hasBody(this.#request)) {
+			return undefined;
+		}
+
+		const length = Number(this.#request.headers['content-length'] ?? Number.POSITIVE_INFINITY);
+		if (length > maxKeptBody) {
+			return this.#request;
+		}
+
+		const chunks: Buffer[] = [];
+		try {
+			for await (const chunk of this.#request) {
+				chunks.push(chunk as Buffer);
+			}
+		} catch (error) {
+			this.#controller.abort(error);
+		}
+
+		return Buffer.concat(chunks);
+	}
+
+	get #version(): number {
+		return this.#applied.encoded.snapshot.version;
+	}
+
+	/** Answers in place of an upstream. "Not run" is said only where no try may have run. */
+	#refuse(refusal: Refusal): void {
+		const outcome = this.#mayHaveRun ? outcomes.unknown : refusal.outcome;
+		this.#result = outcome === outcomes.notRun ? callResults.notRun : callResults.unknown;
+		sendRefusal(this.#response, {...refusal, outcome});
+		this.#request.resume();
+	}
+
+	readonly #handleCallerClose = () => {
+		if (!this.#response.writableFinished) {
+			this.#result = callResults.callerLeft;
+			this.#controller.abort(new Error('the caller closed its connection'));
+		}
+	};
+}
+
+/** Reads a refusal of the second hop, or makes one of an upstream's failure. */
+function readRefusal(status: number, headers: AnswerHeaders): Refusal {
+	const outcome = headers[meshHeaders.outcome] === outcomes.notRun ? outcomes.notRun : outcomes.unknown;
+	const retryAfter = Number(headers[meshHeaders.retryAfter]);
+	return {
+		status,
+		outcome,
+		reason: String(headers[meshHeaders.reason] ?? `the upstream answered with status ${status}`),
+		retryAfter: retryAfter > 0 ? retryAfter : undefined,
+	};
+}
+
+const requestIdDigits = 36;
+
+function createRequestId(random: {next: () => number}): string {
+	return `${random.next().toString(requestIdDigits).slice(2)}${random.next().toString(requestIdDigits).slice(2)}`;
+}
--- /dev/null
+++ b/packages/callers/src/callers.ts
@@ -0,0 +1,108 @@
+/**
+ * The first hop: takes calls from callers, and sends each to the node beside
+ * an upstream of the service that the rules name.
+ */
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {type Clock, type Random} from '@ebonylead/base/base.js';
+import {type Logger} from '@ebonylead/base/logs.js';
+import {type AppliedVersion} from '@ebonylead/rules/applied-version.js';
+import {listenOn} from '@ebonylead/upstreams/announcement-listener.js';
+import {sendRefusal} from '@ebonylead/upstreams/refusals.js';
+import {outcomes, type Refusal} from '@ebonylead/upstreams/upstreams.js';
+import {type CallMetrics} from './call-metrics.js';
+import {Call} from './call.js';
+import {type MeshPools} from './mesh-pools.js';
+import {type RetryBudget} from './retry-budget.js';
+import {type TargetChooser} from './target-chooser.js';
+
+/** What `CallerListener` needs. */
+export type CallerParts = {
+	readonly applied: AppliedVersion;
+	readonly chooser: TargetChooser;
+	readonly pools: MeshPools;
+	readonly budget: RetryBudget;
+	readonly metrics: CallMetrics;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly log: Logger;
+
+	/** Says whether this node may serve: it knows the newest version and was not paused. */
+	readonly isReady: () => boolean;
+};
+
+const keepAliveTime = 30_000;
+const maxHeaderBytes = 16 * 1024;
+const statusUnavailable = 503;
+const statusNotImplemented = 501;
+const startingRetryAfter = 500;
+
+/** Serves callers on one port. */
+export class CallerListener {
+	readonly #parts: CallerParts;
+	readonly #server: Server;
+	#open = 0;
+
+	constructor(parts: CallerParts) {
+		this.#parts = parts;
+		this.#server = createServer({keepAliveTimeout: keepAliveTime, maxHeaderSize: maxHeaderBytes}, (request, response) => {
+			void this.#serve(request, response);
+		});
+	}
+
+	/** Count of calls that have not ended. */
+	get openCount(): number {
+		return this.#open;
+	}
+
+	/**
+	 * Starts to listen.
+	 *
+	 * @throws StepError when the port can't be used.
+	 */
+	async listen(host: string, port: number): Promise<void> {
+		await listenOn(this.#server, host, port, 'listen for callers');
+	}
+
+	/** Takes no new connections, and closes the idle ones. */
+	close(): void {
+		this.#server.close();
+		this.#server.closeIdleConnections();
+	}
+
+	/** Cuts what is still open. */
+	cut(): void {
+		this.#server.closeAllConnections();
+	}
+
+	async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		this.#open++;
+		try {
+			const refusal = this.#findRefusal(request);
+			if (refusal) {
+				sendRefusal(response, refusal);
+				request.resume();
+				return;
+			}
+
+			await new Call(this.#parts, request, response).run();
+		} finally {
+			this.#open--;
+		}
+	}
+
+	#findRefusal(request: IncomingMessage): Refusal | undefined {
+		if (!this.#parts.isReady()) {
+			return {
+				status: statusUnavailable, outcome: outcomes.notRun, reason: 'this node does not know yet which rules are in force', retryAfter: startingRetryAfter,
+			};
+		}
+
+		if (request.headers.upgrade !== undefined) {
+			return {status: statusNotImplemented, outcome: outcomes.notRun, reason: 'protocol upgrades are not supported; call without the header "upgrade"'};
+		}
+
+		return undefined;
+	}
+}
--- /dev/null
+++ b/packages/callers/src/target-chooser.ts
@@ -0,0 +1,192 @@
+/** Chooses the upstream for a try. */
+import {pickInteger, type Clock, type Random} from '@ebonylead/base/base.js';
+import {type Member} from '@ebonylead/peers/generated/peers.js';
+import {type Membership} from '@ebonylead/peers/membership.js';
+import {type Rule} from '@ebonylead/rules/rules.js';
+
+/** What this node saw of one upstream. */
+type TargetState = {
+	/** Tries of this node that run there. */
+	inFlight: number;
+
+	/** Load that its node reported last: calls for each slot. */
+	reportedLoad: number;
+	reportedAt: number;
+	consecutiveFailures: number;
+	ejections: number;
+	ejectedUntil: number;
+
+	/** Incarnation of the record, to notice a restart. */
+	incarnation: number;
+	readySince: number;
+};
+
+/** Why an upstream is not chosen at present; undefined where it may be. */
+export type ExclusionReason = 'ejected' | 'tried' | undefined;
+
+const maxConsecutiveFailures = 3;
+const ejectionBase = 2000;
+const ejectionCap = 60_000;
+
+/** At most this share of a service's upstreams is ejected. */
+const maxEjectedShare = 1 / 3;
+
+/** A reported load counts half after this time in milliseconds. */
+const loadHalfLife = 1000;
+
+/** Time in milliseconds in which a new upstream gets a growing share. */
+const slowStartTime = 5000;
+const slowStartFloor = 0.1;
+
+/** Load from which calls may leave the preferred data centre. */
+const spillLoad = 1;
+const forgetAfter = 600_000;
+const sweepEvery = 10_000;
+
+/** Picks the better of two random upstreams, those of the preferred data centre first. */
+export class TargetChooser {
+	readonly #membership: Membership;
+	readonly #dataCentre: string;
+	readonly #clock: Clock;
+	readonly #random: Random;
+	readonly #states = new Map<string, TargetState>();
+	#chosen = 0;
+
+	constructor(membership: Membership, dataCentre: string, clock: Clock, random: Random) {
+		this.#membership = membership;
+		this.#dataCentre = dataCentre;
+		this.#clock = clock;
+		this.#random = random;
+	}
+
+	/** Chooses an upstream that was not tried yet, or undefined where there is none. */
+	choose(service: string, prefer: Rule['prefer'], tried: ReadonlySet<string>): Member | undefined {
+		this.#sweepSometimes();
+		const ready = this.#membership.listReady(service);
+		const usable = this.#listUsable(ready, tried);
+		const preferred = prefer === 'any' ? usable : usable.filter(member => member.dataCentre === (prefer === 'local' ? this.#dataCentre : prefer));
+		const near = this.#pickOfTwo(preferred);
+		if (near && (preferred.length === usable.length || this.#estimateLoad(near) < spillLoad)) {
+			return near;
+		}
+
+		const far = this.#pickOfTwo(usable);
+		if (near === undefined || far === undefined) {
+			return far ?? near;
+		}
+
+		return this.#estimateLoad(far) < this.#estimateLoad(near) / 2 ? far : near;
+	}
+
+	/** Returns why an upstream would not be chosen now. */
+	findExclusion(member: Member, tried: ReadonlySet<string> = new Set()): ExclusionReason {
+		if (tried.has(member.id)) {
+			return 'tried';
+		}
+
+		return (this.#states.get(member.id)?.ejectedUntil ?? 0) > this.#clock.now() ? 'ejected' : undefined;
+	}
+
+	/** Notes the start of a try. */
+	recordStart(member: Member): void {
+		this.#getState(member).inFlight++;
+	}
+
+	/** Notes the end of a try, with the load that the upstream's node reported. */
+	recordEnd(member: Member, isFailure: boolean, reportedLoad: number | undefined): void {
+		const state = this.#getState(member);
+		state.inFlight = Math.max(0, state.inFlight - 1);
+		if (reportedLoad !== undefined && Number.isFinite(reportedLoad)) {
+			state.reportedLoad = reportedLoad;
+			state.reportedAt = this.#clock.now();
+		}
+
+		if (!isFailure) {
+			state.consecutiveFailures = 0;
+			state.ejections = 0;
+			return;
+		}
+
+		state.consecutiveFailures++;
+		if (state.consecutiveFailures >= maxConsecutiveFailures) {
+			this.#eject(state);
+		}
+	}
+
+	/** Ejects an upstream at once: its node refused a connection. */
+	recordUnreachable(member: Member): void {
+		this.#eject(this.#getState(member));
+	}
+
+	#eject(state: TargetState): void {
+		const duration = Math.min(ejectionCap, ejectionBase * (2 ** state.ejections)) * (0.5 + (this.#random.next() / 2));
+		state.ejections++;
+		state.consecutiveFailures = 0;
+		state.ejectedUntil = this.#clock.now() + duration;
+	}
+
+	/** Leaves out tried and ejected upstreams; past the cap on ejections, ejected ones count again. */
+	#listUsable(ready: readonly Member[], tried: ReadonlySet<string>): readonly Member[] {
+		const untried = tried.size === 0 ? ready : ready.filter(member => !tried.has(member.id));
+		const usable = untried.filter(member => this.findExclusion(member) === undefined);
+		const ejectedCount = untried.length - usable.length;
+		return ejectedCount > Math.ceil(ready.length * maxEjectedShare) ? untried : usable;
+	}
+
+	#pickOfTwo(members: readonly Member[]): Member | undefined {
+		if (members.length < 2) {
+			return members[0];
+		}
+
+		const first = pickInteger(this.#random, members.length);
+		const second = (first + 1 + pickInteger(this.#random, members.length - 1)) % members.length;
+		const [left, right] = [members[first]!, members[second]!];
+		return this.#weighLoad(left) <= this.#weighLoad(right) ? left : right;
+	}
+
+	/** Returns the load as the choice sees it; a new upstream seems more loaded than it is. */
+	#weighLoad(member: Member): number {
+		const age = this.#clock.now() - this.#getState(member).readySince;
+		return this.#estimateLoad(member) / Math.max(slowStartFloor, Math.min(1, age / slowStartTime));
+	}
+
+	/** Estimates calls for each slot. */
+	#estimateLoad(member: Member): number {
+		const state = this.#getState(member);
+		const age = this.#clock.now() - state.reportedAt;
+		const reported = state.reportedLoad * (0.5 ** (age / loadHalfLife));
+		const own = (state.inFlight + 1) / Math.max(1, member.slots);
+		return Math.max(own, reported);
+	}
+
+	#getState(member: Member): TargetState {
+		let state = this.#states.get(member.id);
+		if (state === undefined) {
+			state = {
+				inFlight: 0, reportedLoad: 0, reportedAt: 0, consecutiveFailures: 0, ejections: 0, ejectedUntil: 0, incarnation: member.incarnation, readySince: this.#clock.now(),
+			};
+			this.#states.set(member.id, state);
+		} else if (state.incarnation !== member.incarnation) {
+			state.incarnation = member.incarnation;
+			state.ejectedUntil = 0;
+			state.consecutiveFailures = 0;
+			state.readySince = this.#clock.now();
+		}
+
+		return state;
+	}
+
+	#sweepSometimes(): void {
+		this.#chosen++;
+		if (this.#chosen % sweepEvery !== 0) {
+			return;
+		}
+
+		const now = this.#clock.now();
+		for (const [id, state] of this.#states) {
+			if (state.inFlight === 0 && now - state.reportedAt > forgetAfter) {
+				this.#states.delete(id);
+			}
+		}
+	}
+}
--- /dev/null
+++ b/packages/node/src/ebonylead.ts
@@ -0,0 +1,61 @@
+/** The program `ebonylead`. */
+import process from 'node:process';
+import {setFlagsFromString} from 'node:v8';
+import {
+	checkCommand, exitCodes, explainCommand, rulesCommand, runCommand, statusCommand, submitCommand,
+} from '@ebonylead/operators/command-line.js';
+import {readSettings} from '@ebonylead/operators/settings.js';
+import {defineCommand, runMain} from 'citty';
+import {Node} from './node.js';
+
+// A single executable takes no engine flags, so the limits of the heap are set here.
+setFlagsFromString('--max-semi-space-size=2');
+setFlagsFromString('--max-old-space-size=96');
+
+// The platform of the targets forbids io_uring; the variable is read when the first file is opened.
+process.env.UV_USE_IO_URING = '0';
+
+const nodeCommand = defineCommand({
+	meta: {name: 'node', description: 'Run the node in a VM\'s slot.'},
+	args: {settings: {type: 'string', description: 'Settings file in JSON.', required: true}},
+	async run({args}) {
+		await runCommand(async () => {
+			const settings = await readSettings(args.settings);
+			await settings.caseOf({
+				async Left(faults) {
+					process.stderr.write(`${faults.join('\n')}\n`);
+					process.exitCode = exitCodes.badInput;
+				},
+				async Right(checked) {
+					const node = new Node(checked, () => {
+						void node.stop().then(() => process.exit(exitCodes.failed));
+					});
+					await node.start();
+					stopOnSignals(node);
+				},
+			});
+		});
+	},
+});
+
+function stopOnSignals(node: Node): void {
+	let isStopping = false;
+	const stop = () => {
+		if (!isStopping) {
+			isStopping = true;
+			void node.stop().then(report => process.exit(report.openCalls === 0 ? exitCodes.done : exitCodes.failed));
+		}
+	};
+
+	process.on('SIGTERM', stop);
+	process.on('SIGINT', stop);
+}
+
+const main = defineCommand({
+	meta: {name: 'ebonylead', version: '0.1.0', description: 'Distributes routing rules to the proxies of a service mesh.'},
+	subCommands: {
+		node: nodeCommand, check: checkCommand, submit: submitCommand, rules: rulesCommand, status: statusCommand, explain: explainCommand,
+	},
+});
+
+void runMain(main);
--- /dev/null
+++ b/packages/node/src/head-watcher.ts
@@ -0,0 +1,114 @@
+/** Reads the head from the platform, so that this data centre hears of versions whose submitter's node died. */
+import {computeBackoff, type Clock, type Random} from '@ebonylead/base/base.js';
+import {describeError} from '@ebonylead/base/errors.js';
+import {type Logger} from '@ebonylead/base/logs.js';
+import {type Membership} from '@ebonylead/peers/membership.js';
+import {rankLeaders} from '@ebonylead/peers/tree.js';
+import {type VersionStore} from '@ebonylead/platform/versions.js';
+import {type AppliedVersion} from '@ebonylead/rules/applied-version.js';
+import {computeDelta, type SnapshotDelta} from '@ebonylead/rules/snapshot-delta.js';
+
+/** What `HeadWatcher` needs. */
+export type HeadWatcherParts = {
+	readonly selfId: string;
+	readonly dataCentre: string;
+	readonly membership: Membership;
+	readonly versions: VersionStore;
+	readonly applied: AppliedVersion;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly log: Logger;
+
+	/** Called with what leads from the version before to the one that was read. */
+	readonly onVersion: (delta: SnapshotDelta) => Promise<void>;
+};
+
+/** Whether the platform answered last time. */
+export type StoreHealth = 'up' | 'down' | 'unknown';
+
+/** Watchers in each data centre; reads of the store grow with data centres, not with nodes. */
+const watchersPerDataCentre = 2;
+const pollPeriod = 1000;
+const backoffCap = 10_000;
+const watcherSeed = 0x57_41;
+
+/** Polls the head while this node is one of its data centre's watchers. */
+export class HeadWatcher {
+	readonly #parts: HeadWatcherParts;
+	#health: StoreHealth = 'unknown';
+	#failures = 0;
+
+	constructor(parts: HeadWatcherParts) {
+		this.#parts = parts;
+	}
+
+	/** Whether the platform answered last time. */
+	get health(): StoreHealth {
+		return this.#health;
+	}
+
+	/** Runs until the signal is aborted. */
+	async run(signal: AbortSignal): Promise<void> {
+		const {clock, random} = this.#parts;
+		while (!signal.aborted) {
+			const delay = this.#failures === 0
+				? pollPeriod
+				: pollPeriod + computeBackoff(random, this.#failures, pollPeriod, backoffCap);
+			await clock.sleep(delay, signal);
+			if (!signal.aborted && this.isWatcher()) {
+				await this.poll();
+			}
+		}
+	}
+
+	/** Says whether this node is one of its data centre's watchers in its present view. */
+	isWatcher(): boolean {
+		const {membership, dataCentre, selfId} = this.#parts;
+		const ranked = rankLeaders(membership.listActive(dataCentre), watcherSeed);
+		return ranked.slice(0, watchersPerDataCentre).some(known => known.member.id === selfId);
+	}
+
+	/**
+	 * Reads the head once, and applies it if it is newer.
+	 *
+	 * @returns Whether the platform answered.
+	 */
+	async poll(): Promise<boolean> {
+		const {versions, applied, onVersion, log} = this.#parts;
+		try {
+			const head = await versions.readHead();
+			if (head.version > applied.version) {
+				const before = applied.current.encoded.snapshot;
+				const encoded = await versions.readSnapshot(head.digest);
+				if (applied.apply(encoded)) {
+					log.info(`Applied version ${head.version} from the platform`);
+					await onVersion(computeDelta(before, encoded));
+				}
+			}
+
+			this.#noteAnswer();
+			return true;
+		} catch (error) {
+			this.#noteFailure(error);
+			return false;
+		}
+	}
+
+	#noteAnswer(): void {
+		if (this.#health === 'down') {
+			this.#parts.log.info('The platform answers again');
+		}
+
+		this.#health = 'up';
+		this.#failures = 0;
+	}
+
+	#noteFailure(error: unknown): void {
+		this.#failures++;
+		if (this.#health !== 'down') {
+			this.#parts.log.warn(`The platform does not answer: ${describeError(error)}`);
+		}
+
+		this.#health = 'down';
+	}
+}
--- /dev/null
+++ b/packages/node/src/node-metrics.ts
@@ -0,0 +1,42 @@
+/** Metrics of a node besides those of its calls. */
+import {type Membership} from '@ebonylead/peers/membership.js';
+import {type GrpcTransport} from '@ebonylead/peers/grpc-transport.js';
+import {type AppliedVersion} from '@ebonylead/rules/applied-version.js';
+import {type UpstreamLink} from '@ebonylead/upstreams/upstream-link.js';
+import {collectDefaultMetrics, Gauge, type Registry} from 'prom-client';
+import {type HeadWatcher} from './head-watcher.js';
+
+/** What the metrics read. */
+export type NodeMetricsParts = {
+	readonly applied: AppliedVersion;
+	readonly membership: Membership;
+	readonly transport: GrpcTransport;
+	readonly link: UpstreamLink;
+	readonly watcher: HeadWatcher;
+	readonly isReady: () => boolean;
+};
+
+/** Registers gauges that read the state of a node when they are collected. */
+export function registerNodeMetrics(registry: Registry, parts: NodeMetricsParts): void {
+	const {applied, membership, transport, link, watcher, isReady} = parts;
+	collectDefaultMetrics({register: registry});
+	registerGauge(registry, 'ebonylead_version', 'Version of the rules in force.', () => applied.version);
+	registerGauge(registry, 'ebonylead_ready', '1 where the node serves calls.', () => Number(isReady()));
+	registerGauge(registry, 'ebonylead_members', 'Members that are alive or suspected.', () => membership.activeCount);
+	registerGauge(registry, 'ebonylead_store_up', '1 where the platform answered this node last time.', () => Number(watcher.health === 'up'));
+	registerGauge(registry, 'ebonylead_control_bytes', 'Bytes of control messages carried since the start.', () => transport.counts.bytes);
+	registerGauge(registry, 'ebonylead_control_messages', 'Control messages carried since the start.', () => transport.counts.messages);
+	registerGauge(registry, 'ebonylead_upstream_running', 'Calls that run on the upstream beside the node.', () => link.admission.running);
+	registerGauge(registry, 'ebonylead_upstream_waiting', 'Calls that wait for the upstream beside the node.', () => link.admission.waiting);
+}
+
+function registerGauge(registry: Registry, name: string, help: string, read: () => number): void {
+	const gauge = new Gauge({
+		name,
+		help,
+		registers: [registry],
+		collect() {
+			gauge.set(read());
+		},
+	});
+}
--- /dev/null
+++ b/packages/node/src/node-operations.ts
@@ -0,0 +1,129 @@
+/** What a node answers to operators. */
+import {
+	type ExplainReport, type OperatorHandlers, type RuleExplanation, type StatusReport, type SubmitEvent, type SubmitRequest,
+} from '@ebonylead/operators/operators.js';
+import {type TargetChooser} from '@ebonylead/callers/target-chooser.js';
+import {MemberState, UpstreamState, type DataCentreCount} from '@ebonylead/peers/generated/peers.js';
+import {type GrpcTransport} from '@ebonylead/peers/grpc-transport.js';
+import {type PeerNode} from '@ebonylead/peers/peer-node.js';
+import {type AppliedVersion} from '@ebonylead/rules/applied-version.js';
+import {findMismatch, type RequestLine, type Route} from '@ebonylead/rules/route-table.js';
+import {formatRuleFile} from '@ebonylead/rules/rule-file.js';
+import {formatRule} from '@ebonylead/rules/rules.js';
+import {type Registry} from 'prom-client';
+import {type HeadWatcher} from './head-watcher.js';
+import {type SubmissionRunner} from './submission-runner.js';
+
+/** What `NodeOperations` needs. */
+export type NodeOperationsParts = {
+	readonly submissions: SubmissionRunner;
+	readonly applied: AppliedVersion;
+	readonly chooser: TargetChooser;
+	readonly peers: PeerNode;
+	readonly watcher: HeadWatcher;
+	readonly registry: Registry;
+	readonly transport: GrpcTransport;
+	readonly isReady: () => boolean;
+};
+
+/** Most rules that an explanation lists besides the one that matched. */
+const maxExplained = 50;
+
+/** Answers operators from what this node knows and from a census of the others. */
+export class NodeOperations implements OperatorHandlers {
+	readonly #parts: NodeOperationsParts;
+
+	constructor(parts: NodeOperationsParts) {
+		this.#parts = parts;
+	}
+
+	async submit(request: SubmitRequest, onEvent: (event: SubmitEvent) => void): Promise<void> {
+		await this.#parts.submissions.run(request, onEvent);
+	}
+
+	async readStatus(): Promise<StatusReport> {
+		const {peers, applied, watcher} = this.#parts;
+		const census = await peers.takeCensus();
+		const members = peers.membership.listAll();
+		return {
+			node: peers.self.id,
+			dataCentre: peers.self.dataCentre,
+			version: applied.version,
+			isReady: this.#parts.isReady(),
+			store: watcher.health,
+			members: peers.membership.activeCount,
+			suspected: members.filter(member => member.state === MemberState.SUSPECT).map(member => member.id),
+			draining: members.filter(member => member.upstreamState === UpstreamState.DRAINING).map(member => member.id),
+			dataCentres: groupCounts(census.counts),
+			laggards: census.laggards,
+			unreached: census.unreached,
+			controlBytes: census.controlBytes,
+		};
+	}
+
+	formatRules(): string {
+		return formatRuleFile(this.#parts.applied.current.encoded.snapshot);
+	}
+
+	explain(request: RequestLine): ExplainReport {
+		const {applied} = this.#parts;
+		const {routes, encoded} = applied.current;
+		const chosen = routes.findRoute(request);
+		const others = routes.routes.filter(route => route !== chosen).slice(0, maxExplained);
+		return {
+			version: encoded.snapshot.version,
+			chosen: chosen && explainRoute(chosen, request),
+			others: others.map(route => explainRoute(route, request)),
+			upstreams: chosen === undefined ? [] : this.#explainUpstreams(chosen),
+		};
+	}
+
+	async formatMetrics(): Promise<string> {
+		return this.#parts.registry.metrics();
+	}
+
+	isReady(): boolean {
+		return this.#parts.isReady();
+	}
+
+	#explainUpstreams(route: Route): ExplainReport['upstreams'] {
+		const {peers, chooser} = this.#parts;
+		const services = new Set(route.rule.split.map(share => share.service));
+		const members = peers.membership.listAll().filter(member => services.has(member.service));
+		return members.map(member => ({
+			id: member.id,
+			service: member.service,
+			dataCentre: member.dataCentre,
+			exclusion: describeState(member) ?? chooser.findExclusion(member),
+		}));
+	}
+}
+
+function describeState(member: {state: MemberState; upstreamState: UpstreamState}): string | undefined {
+	if (member.state !== MemberState.ALIVE) {
+		return MemberState[member.state].toLowerCase();
+	}
+
+	return member.upstreamState === UpstreamState.READY ? undefined : UpstreamState[member.upstreamState].toLowerCase();
+}
+
+function explainRoute(route: Route, request: RequestLine): RuleExplanation {
+	return {
+		rule: formatRule(route.rule),
+		since: route.rule.since,
+		askedBy: route.rule.askedBy,
+		mismatch: findMismatch(route, request),
+	};
+}
+
+function groupCounts(counts: readonly DataCentreCount[]): StatusReport['dataCentres'] {
+	const names = [...new Set(counts.map(count => count.dataCentre))].toSorted();
+	return names.map(dataCentre => {
+		const own = counts.filter(count => count.dataCentre === dataCentre);
+		return {
+			dataCentre,
+			members: own.reduce((sum, count) => sum + count.count, 0),
+			versions: own.map(({version, count}) => ({version, count})).toSorted((left, right) => right.version - left.version),
+		};
+	});
+}
--- /dev/null
+++ b/packages/node/src/node.ts
@@ -0,0 +1,269 @@
+/** Wires the parts of a node; the only module that makes them. */
+import {SystemClock, type Clock} from '@ebonylead/base/base.js';
+import {describeError} from '@ebonylead/base/errors.js';
+import {createLogger, createPartLogger, type Logger} from '@ebonylead/base/logs.js';
+import {SystemRandom} from '@ebonylead/base/random.js';
+import {CallMetrics} from '@ebonylead/callers/call-metrics.js';
+import {CallerListener} from '@ebonylead/callers/callers.js';
+import {MeshPools} from '@ebonylead/callers/mesh-pools.js';
+import {RetryBudget} from '@ebonylead/callers/retry-budget.js';
+import {TargetChooser} from '@ebonylead/callers/target-chooser.js';
+import {OperatorListener} from '@ebonylead/operators/operator-listener.js';
+import {type Settings} from '@ebonylead/operators/settings.js';
+import {
+	MemberState, UpstreamState, type Member,
+} from '@ebonylead/peers/generated/peers.js';
+import {GrpcServer} from '@ebonylead/peers/grpc-server.js';
+import {GrpcTransport} from '@ebonylead/peers/grpc-transport.js';
+import {defaultHeartbeatTimes} from '@ebonylead/peers/heartbeats.js';
+import {PeerNode} from '@ebonylead/peers/peer-node.js';
+import {Acceptor} from '@ebonylead/platform/acceptance.js';
+import {HttpPlatform} from '@ebonylead/platform/http-platform.js';
+import {SeedStore} from '@ebonylead/platform/seeds.js';
+import {VersionStore} from '@ebonylead/platform/versions.js';
+import {AppliedVersion} from '@ebonylead/rules/applied-version.js';
+import {AnnouncementListener} from '@ebonylead/upstreams/announcement-listener.js';
+import {MeshListener} from '@ebonylead/upstreams/mesh-listener.js';
+import {UpstreamLink, type UpstreamStatus} from '@ebonylead/upstreams/upstream-link.js';
+import {Registry} from 'prom-client';
+import {HeadWatcher} from './head-watcher.js';
+import {NodeOperations} from './node-operations.js';
+import {PauseDetector} from './pause-detector.js';
+import {Readiness} from './readiness.js';
+import {registerNodeMetrics} from './node-metrics.js';
+import {SeedKeeper} from './seed-keeper.js';
+import {SubmissionRunner} from './submission-runner.js';
+
+/** Children of a node in the push tree, by the setting `spreading`. */
+const fanouts = {convergence: 6, bytes: 3} as const;
+
+/** Time in milliseconds that other nodes get to hear that this one leaves. */
+const leaveNoticeTime = 2000;
+const openPollPeriod = 20;
+const loopback = '127.0.0.1';
+const instanceLimit = 0x1_00_00_00_00;
+
+/** What was still open when a node stopped. */
+export type StopReport = {
+	readonly openCalls: number;
+
+	/** Time from the request to stop to its end in milliseconds. */
+	readonly duration: number;
+};
+
+/** One node: a proxy, and an equal part of the control of all proxies. */
+export class Node {
+	readonly #settings: Settings;
+	readonly #clock: Clock = new SystemClock();
+	readonly #random = new SystemRandom();
+	readonly #registry = new Registry();
+	readonly #rootLog: Logger;
+	readonly #log: Logger;
+	readonly #controller = new AbortController();
+	readonly #applied = new AppliedVersion();
+	readonly #transport = new GrpcTransport();
+	readonly #pools = new MeshPools();
+	readonly #platform: HttpPlatform;
+	readonly #peers: PeerNode;
+	readonly #peerServer: GrpcServer;
+	readonly #link: UpstreamLink;
+	readonly #announcements: AnnouncementListener;
+	readonly #mesh: MeshListener;
+	readonly #callers: CallerListener;
+	readonly #operators: OperatorListener;
+	readonly #watcher: HeadWatcher;
+	readonly #readiness: Readiness;
+	readonly #seedKeeper: SeedKeeper;
+	readonly #pauses: PauseDetector;
+	readonly #onReplaced: () => void;
+
+	/**
+	 * @param onReplaced Called when a newer process took over this identity; this one must stop.
+	 */
+	constructor(settings: Settings, onReplaced: () => void) {
+		const {deployment, node, platform} = settings;
+		const clock = this.#clock;
+		const random = this.#random;
+		const applied = this.#applied;
+		this.#settings = settings;
+		this.#onReplaced = onReplaced;
+		this.#rootLog = createLogger(settings.logLevel, {node: node.id});
+		this.#log = this.#createLog('node');
+		this.#platform = new HttpPlatform(platform);
+		const versions = new VersionStore(deployment, this.#platform, this.#platform);
+		const seeds = new SeedStore(deployment, this.#platform);
+		this.#peers = this.#createPeers();
+		this.#peerServer = new GrpcServer(deployment, this.#peers, this.#transport.counts);
+		this.#link = new UpstreamLink(clock, this.#createLog('upstream'));
+		this.#announcements = new AnnouncementListener(this.#link);
+		this.#mesh = new MeshListener({link: this.#link, clock, log: this.#createLog('mesh')});
+		this.#watcher = new HeadWatcher({
+			selfId: node.id,
+			dataCentre: node.dataCentre,
+			membership: this.#peers.membership,
+			versions,
+			applied,
+			clock,
+			random,
+			log: this.#createLog('platform'),
+			onVersion: async delta => {
+				await this.#peers.spreadVersionLocally(delta);
+			},
+		});
+		this.#readiness = new Readiness({
+			peers: this.#peers, watcher: this.#watcher, seeds, applied, configuredPeers: settings.peers, clock, random, log: this.#log,
+		});
+		this.#pauses = new PauseDetector(clock, gap => {
+			this.#log.warn(`This process was paused for ${Math.round(gap)} ms; it learns the version anew before it serves`);
+			this.#readiness.reset();
+		});
+		this.#seedKeeper = new SeedKeeper({
+			peers: this.#peers, seeds, clock, random, log: this.#createLog('platform'),
+		});
+		const chooser = new TargetChooser(this.#peers.membership, node.dataCentre, clock, random);
+		this.#callers = new CallerListener({
+			applied,
+			chooser,
+			pools: this.#pools,
+			budget: new RetryBudget(),
+			metrics: new CallMetrics(this.#registry),
+			clock,
+			random,
+			log: this.#createLog('callers'),
+			isReady: () => this.#checkReady(),
+		});
+		const submissions = new SubmissionRunner({
+			acceptor: new Acceptor({
+				table: this.#platform, objects: this.#platform, versions, clock, random,
+			}),
+			applied,
+			peers: this.#peers,
+			watcher: this.#watcher,
+			clock,
+			log: this.#createLog('operators'),
+		});
+		this.#operators = new OperatorListener(new NodeOperations({
+			submissions, applied, chooser, peers: this.#peers, watcher: this.#watcher, registry: this.#registry, isReady: () => this.#checkReady(), transport: this.#transport,
+		}), this.#createLog('operators'));
+		registerNodeMetrics(this.#registry, {
+			applied, membership: this.#peers.membership, transport: this.#transport, link: this.#link, watcher: this.#watcher, isReady: () => this.#readiness.isReady,
+		});
+	}
+
+	/** Opens the listeners and starts the tasks. */
+	async start(): Promise<void> {
+		const {node, listeners} = this.#settings;
+		const {signal} = this.#controller;
+		await this.#peerServer.listen(node.host, listeners.peers);
+		await this.#mesh.listen(node.host, listeners.mesh);
+		await this.#callers.listen(node.host, listeners.callers);
+		await this.#operators.listen(node.host, listeners.operators);
+		await this.#announcements.listen(loopback, listeners.announcements);
+		this.#runTask('readiness', this.#readiness.run(signal));
+		this.#runTask('heartbeats', this.#peers.run(signal));
+		this.#runTask('head watcher', this.#watcher.run(signal));
+		this.#runTask('first peers', this.#seedKeeper.run(signal));
+		this.#runTask('pause detector', this.#pauses.run(signal));
+		this.#runTask('upstream', this.#link.run(signal));
+		this.#link.status.observeChanges().skip(1).observe(status => {
+			this.#announceUpstream(status);
+		}).catch((error: unknown) => {
+			this.#log.error(`Following the upstream failed: ${describeError(error)}`);
+		});
+		this.#log.info('Started');
+	}
+
+	/** Says goodbye first, then ends what is in flight, then closes. */
+	async stop(): Promise<StopReport> {
+		const startedAt = this.#clock.now();
+		this.#log.info('Stops');
+		await this.#peers.leave();
+		await this.#clock.sleep(leaveNoticeTime);
+		this.#link.admission.close();
+		this.#callers.close();
+		this.#mesh.close();
+		await this.#waitForOpenCalls(startedAt + this.#settings.stopTimeout);
+		const openCalls = this.#callers.openCount + this.#mesh.openCount;
+		await this.close();
+		const report = {openCalls, duration: Math.round(this.#clock.now() - startedAt)};
+		this.#log.info(`Stopped after ${report.duration} ms with ${openCalls} calls still open`);
+		return report;
+	}
+
+	/** Closes everything at once. */
+	async close(): Promise<void> {
+		this.#controller.abort();
+		this.#callers.cut();
+		this.#mesh.cut();
+		this.#operators.close();
+		this.#announcements.close();
+		this.#transport.close();
+		await Promise.all([this.#peerServer.close(), this.#pools.close(), this.#link.close(), this.#platform.close()]);
+	}
+
+	async #waitForOpenCalls(end: number): Promise<void> {
+		while (this.#callers.openCount + this.#mesh.openCount > 0 && this.#clock.now() < end) {
+			await this.#clock.sleep(openPollPeriod);
+		}
+	}
+
+	#createPeers(): PeerNode {
+		const {deployment, spreading} = this.#settings;
+		return new PeerNode({
+			deployment,
+			member: this.#createMember(),
+			fanout: fanouts[spreading],
+			times: defaultHeartbeatTimes,
+			applied: this.#applied,
+			transport: this.#transport,
+			clock: this.#clock,
+			random: this.#random,
+			log: this.#createLog('peers'),
+			countControlBytes: () => this.#transport.counts.bytes,
+			isReady: () => this.#readiness.isReady,
+			onReplaced: () => {
+				this.#log.error('A newer process took over this identity; this one stops');
+				this.#onReplaced();
+			},
+		});
+	}
+
+	#createMember(): Member {
+		const {node, listeners} = this.#settings;
+		return {
+			id: node.id,
+			incarnation: this.#clock.wallTime(),
+			dataCentre: node.dataCentre,
+			region: node.region,
+			host: node.host,
+			peerPort: listeners.peers,
+			meshPort: listeners.mesh,
+			state: MemberState.ALIVE,
+			service: '',
+			upstreamState: UpstreamState.ABSENT,
+			slots: 0,
+			instance: Math.floor(this.#random.next() * instanceLimit),
+		};
+	}
+
+	#announceUpstream(status: UpstreamStatus): void {
+		const states = {absent: UpstreamState.ABSENT, ready: UpstreamState.READY, draining: UpstreamState.DRAINING};
+		this.#peers.changeSelf({service: status.service, slots: status.slots, upstreamState: states[status.state]});
+	}
+
+	/** A process that was paused must notice it before it serves. */
+	#checkReady(): boolean {
+		this.#pauses.check();
+		return this.#readiness.isReady;
+	}
+
+	#createLog(part: string): Logger {
+		return createPartLogger(this.#rootLog, part);
+	}
+
+	#runTask(name: string, task: Promise<void>): void {
+		task.catch((error: unknown) => {
+			this.#log.fatal(`The task "${name}" ended: ${describeError(error)}`);
+		});
+	}
+}
--- /dev/null
+++ b/packages/node/src/pause-detector.ts
@@ -0,0 +1,38 @@
+/** Notices that this process did not run for a while. */
+import {type Clock} from '@ebonylead/base/base.js';
+
+const checkPeriod = 100;
+
+/** A gap from which the process counts as paused, in milliseconds. */
+export const pauseLimit = 2000;
+
+/** Compares monotonic times; a paused process sees a gap when it wakes. */
+export class PauseDetector {
+	readonly #clock: Clock;
+	readonly #onPause: (gap: number) => void;
+	#lastSeen: number;
+
+	constructor(clock: Clock, onPause: (gap: number) => void) {
+		this.#clock = clock;
+		this.#onPause = onPause;
+		this.#lastSeen = clock.now();
+	}
+
+	/** Checks now; also called before a decision that a pause would make wrong. */
+	check(): void {
+		const now = this.#clock.now();
+		const gap = now - this.#lastSeen;
+		this.#lastSeen = now;
+		if (gap > pauseLimit) {
+			this.#onPause(gap);
+		}
+	}
+
+	/** Checks regularly until the signal is aborted. */
+	async run(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			await this.#clock.sleep(checkPeriod, signal);
+			this.check();
+		}
+	}
+}
--- /dev/null
+++ b/packages/node/src/seed-keeper.ts
@@ -0,0 +1,85 @@
+/** Keeps this node's data centre findable for nodes that start. */
+import {type Clock, type Random} from '@ebonylead/base/base.js';
+import {type Logger} from '@ebonylead/base/logs.js';
+import {runPeriodically} from '@ebonylead/base/running.js';
+import {type PeerNode} from '@ebonylead/peers/peer-node.js';
+import {type Member} from '@ebonylead/peers/generated/peers.js';
+import {rankLeaders} from '@ebonylead/peers/tree.js';
+import {maxSeeds, type Seed, type SeedStore} from '@ebonylead/platform/seeds.js';
+
+const period = 60_000;
+const startPeriod = 700;
+
+/** Rounds after the start in which every node looks for first peers. */
+const startRounds = 4;
+const maxJoined = 3;
+const seedRankSeed = 0x5E_ED;
+
+/** What `SeedKeeper` needs. */
+export type SeedKeeperParts = {
+	readonly peers: PeerNode;
+	readonly seeds: SeedStore;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly log: Logger;
+};
+
+/**
+ * Adds this node as a first peer where there is room, and joins first peers
+ * that it does not know: nodes that started together, or parts of the
+ * deployment that formed apart.
+ */
+export class SeedKeeper {
+	readonly #parts: SeedKeeperParts;
+	#round = 0;
+
+	constructor(parts: SeedKeeperParts) {
+		this.#parts = parts;
+	}
+
+	/** Runs until the signal is aborted. */
+	async run(signal: AbortSignal): Promise<void> {
+		const {clock, random, log} = this.#parts;
+		await runPeriodically({
+			name: 'Keeping the first peers',
+			clock,
+			log,
+			signal,
+			pickDelay: () => (this.#round < startRounds ? startPeriod : period) * (0.5 + random.next()),
+			run: async () => this.#runRound(),
+		});
+	}
+
+	/** In steady state only the first in rank reads and writes, so that the store's load does not grow with nodes. */
+	async #runRound(): Promise<void> {
+		const {peers, seeds} = this.#parts;
+		const {self, membership} = peers;
+		if (this.#round === 0) {
+			await seeds.add(self.dataCentre, buildSeed(self));
+		}
+
+		this.#round++;
+		const ranked = rankLeaders(membership.listActive(self.dataCentre), seedRankSeed).map(known => known.member);
+		const isFirst = ranked[0]?.id === self.id;
+		if (isFirst && this.#round > startRounds) {
+			await seeds.write(self.dataCentre, ranked.slice(0, maxSeeds).map(member => buildSeed(member)));
+		}
+
+		if (isFirst || this.#round <= startRounds || membership.activeCount === 1) {
+			await this.#joinUnknown();
+		}
+	}
+
+	async #joinUnknown(): Promise<void> {
+		const {peers, seeds} = this.#parts;
+		const all = await seeds.readAll();
+		const unknown = all.filter(seed => peers.membership.findMember(seed.id) === undefined);
+		if (unknown.length > 0) {
+			await peers.join(unknown.slice(0, maxJoined));
+		}
+	}
+}
+
+function buildSeed(member: Member): Seed {
+	return {id: member.id, host: member.host, peerPort: member.peerPort};
+}
--- /dev/null
+++ b/packages/operators/src/operator-client.ts
@@ -0,0 +1,74 @@
+/** Speaks to a node on behalf of an operator. */
+import {StepError, describeError} from '@ebonylead/base/errors.js';
+import {request} from 'undici';
+import {
+	type ExplainReport, type StatusReport, type SubmitEvent, type SubmitRequest,
+} from './operators.js';
+
+const statusOk = 200;
+
+/** Sends an operator's requests to one node. */
+export class OperatorClient {
+	readonly #url: string;
+
+	/**
+	 * @param url Address of the node's operator listener, such as `http://10.0.0.1:8083`.
+	 */
+	constructor(url: string) {
+		this.#url = url.replace(/\/$/v, '');
+	}
+
+	/**
+	 * Submits a rule file; yields the events as they come.
+	 *
+	 * @throws StepError when the node can't be reached or refuses the request.
+	 */
+	async * submit(submission: SubmitRequest): AsyncGenerator<SubmitEvent> {
+		const body = await this.#send('submit', 'POST', '/submit', JSON.stringify(submission));
+		let rest = '';
+		for await (const chunk of body) {
+			const lines = (rest + String(chunk)).split('\n');
+			rest = lines.pop() ?? '';
+			for (const line of lines) {
+				yield JSON.parse(line) as SubmitEvent;
+			}
+		}
+	}
+
+	/** Reads the status of the node and of the others as it sees them. */
+	async readStatus(): Promise<StatusReport> {
+		const body = await this.#send('read status', 'GET', '/status');
+		return await body.json() as StatusReport;
+	}
+
+	/** Reads the rules in force as a file. */
+	async readRules(): Promise<string> {
+		const body = await this.#send('read rules', 'GET', '/rules');
+		return body.text();
+	}
+
+	/** Asks why a request goes where it goes. */
+	async explain(method: string, host: string, path: string, headers: readonly string[]): Promise<ExplainReport> {
+		const parameters = new URLSearchParams({method, host, path});
+		for (const header of headers) {
+			parameters.append('header', header);
+		}
+
+		const body = await this.#send('explain', 'GET', `/explain?${parameters.toString()}`);
+		return await body.json() as ExplainReport;
+	}
+
+	async #send(step: string, method: 'GET' | 'POST', path: string, body?: string) {
+		try {
+			const response = await request(this.#url + path, {method, body, headers: {'content-type': 'application/json'}});
+			if (response.statusCode !== statusOk) {
+				const reason = await response.body.text();
+				throw new Error(`status ${response.statusCode}: ${reason.trim()}`);
+			}
+
+			return response.body;
+		} catch (error) {
+			throw new StepError(step, `node ${this.#url}`, describeError(error), {cause: error});
+		}
+	}
+}
--- /dev/null
+++ b/packages/operators/src/operator-listener.ts
@@ -0,0 +1,157 @@
+/** Serves operators and their tools over HTTP. */
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {json} from 'node:stream/consumers';
+import {describeError} from '@ebonylead/base/errors.js';
+import {type Logger} from '@ebonylead/base/logs.js';
+import {listenOn} from '@ebonylead/upstreams/announcement-listener.js';
+import {type OperatorHandlers, type SubmitRequest} from './operators.js';
+
+/** Largest submission in bytes. */
+const maxSubmissionBytes = 8 * 1024 * 1024;
+const statusBadRequest = 400;
+const statusNotFound = 404;
+const statusTooLarge = 413;
+const statusInternal = 500;
+const statusUnavailable = 503;
+
+/** Serves `/submit`, `/status`, `/rules`, `/explain`, `/metrics` and `/ready`. */
+export class OperatorListener {
+	readonly #handlers: OperatorHandlers;
+	readonly #log: Logger;
+	readonly #server: Server;
+
+	constructor(handlers: OperatorHandlers, log: Logger) {
+		this.#handlers = handlers;
+		this.#log = log;
+		this.#server = createServer((request, response) => {
+			void this.#serve(request, response);
+		});
+	}
+
+	/**
+	 * Starts to listen.
+	 *
+	 * @throws StepError when the port can't be used.
+	 */
+	async listen(host: string, port: number): Promise<void> {
+		await listenOn(this.#server, host, port, 'listen for operators');
+	}
+
+	/** Stops listening and cuts what is open. */
+	close(): void {
+		this.#server.close();
+		this.#server.closeAllConnections();
+	}
+
+	async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		try {
+			await this.#route(request, response);
+		} catch (error) {
+			this.#log.warn(`Request ${request.method} ${request.url} failed: ${describeError(error)}`);
+			if (response.headersSent) {
+				response.destroy();
+			} else {
+				response.writeHead(statusInternal).end(`${describeError(error)}\n`);
+			}
+		}
+	}
+
+	async #route(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const url = new URL(request.url ?? '/', 'http://node');
+		switch (`${request.method} ${url.pathname}`) {
+			case 'POST /submit': {
+				await this.#submit(request, response);
+				return;
+			}
+
+			case 'GET /status': {
+				sendJson(response, await this.#handlers.readStatus());
+				return;
+			}
+
+			case 'GET /rules': {
+				response.end(this.#handlers.formatRules());
+				return;
+			}
+
+			case 'GET /explain': {
+				this.#explain(url, response);
+				return;
+			}
+
+			case 'GET /metrics': {
+				response.setHeader('content-type', 'text/plain; version=0.0.4');
+				response.end(await this.#handlers.formatMetrics());
+				return;
+			}
+
+			case 'GET /ready': {
+				const isReady = this.#handlers.isReady();
+				response.writeHead(isReady ? 200 : statusUnavailable).end(isReady ? 'ready\n' : 'not ready\n');
+				return;
+			}
+
+			default: {
+				response.writeHead(statusNotFound).end('Known are POST /submit and GET /status, /rules, /explain, /metrics, /ready.\n');
+			}
+		}
+	}
+
+	async #submit(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		if (Number(request.headers['content-length'] ?? maxSubmissionBytes + 1) > maxSubmissionBytes) {
+			response.writeHead(statusTooLarge).end(`Send a submission of at most ${maxSubmissionBytes} bytes, with its length.\n`);
+			return;
+		}
+
+		let submission: SubmitRequest;
+		try {
+			submission = await json(request) as SubmitRequest;
+		} catch (error) {
+			response.writeHead(statusBadRequest).end(`The submission is not JSON: ${describeError(error)}\n`);
+			return;
+		}
+
+		const fault = findSubmissionFault(submission);
+		if (fault !== undefined) {
+			response.writeHead(statusBadRequest).end(`${fault}\n`);
+			return;
+		}
+
+		response.writeHead(200, {'content-type': 'application/x-ndjson'});
+		await this.#handlers.submit(submission, event => {
+			response.write(`${JSON.stringify(event)}\n`);
+		});
+		response.end();
+	}
+
+	#explain(url: URL, response: ServerResponse): void {
+		const {searchParams: parameters} = url;
+		const target = parameters.get('path') ?? '/';
+		const headers = Object.fromEntries(parameters.getAll('header').map(pair => pair.split('=', 2) as [string, string]));
+		sendJson(response, this.#handlers.explain({
+			method: parameters.get('method') ?? 'GET', host: parameters.get('host') ?? '', path: target, headers,
+		}));
+	}
+}
+
+function sendJson(response: ServerResponse, value: unknown): void {
+	response.writeHead(200, {'content-type': 'application/json'}).end(`${JSON.stringify(value)}\n`);
+}
+
+function findSubmissionFault(submission: Partial<SubmitRequest> | null): string | undefined {
+	if (typeof submission !== 'object' || submission === null) {
+		return 'The submission must be an object.';
+	}
+
+	const texts = ['submissionId', 'submitter', 'file', 'text'] as const;
+	const missing = texts.find(key => typeof submission[key] !== 'string' || (submission[key] === '' && key !== 'text'));
+	if (missing) {
+		return `Key "${missing}" of the submission must be a text.`;
+	}
+
+	const {baseVersion} = submission;
+	const isBaseValid = baseVersion === undefined || (Number.isSafeInteger(baseVersion) && baseVersion >= 0);
+	return isBaseValid ? undefined : 'Key "baseVersion" must be a whole number from 0.';
+}
--- /dev/null
+++ b/packages/operators/src/settings.ts
@@ -0,0 +1,82 @@
+/** Reads and checks the settings of a node. */
+import {readFile} from 'node:fs/promises';
+import {Ajv, type ErrorObject} from 'ajv';
+import {describeError} from '@ebonylead/base/errors.js';
+import {type LogLevel} from '@ebonylead/base/logs.js';
+import {Left, Right, type Either} from 'purify-ts';
+import schema from './settings.schema.json' with {type: 'json'};
+
+/** The settings of a node, as `settings.schema.json` describes them. */
+export type Settings = {
+	readonly deployment: string;
+	readonly node: {
+		readonly id: string;
+		readonly host: string;
+		readonly dataCentre: string;
+		readonly region: string;
+	};
+	readonly listeners: {
+		readonly callers: number;
+		readonly mesh: number;
+		readonly peers: number;
+		readonly operators: number;
+		readonly announcements: number;
+	};
+	readonly platform: {
+		readonly url: string;
+		readonly timeout: number;
+	};
+	readonly peers: ReadonlyArray<{readonly host: string; readonly peerPort: number}>;
+	readonly spreading: 'convergence' | 'bytes';
+	readonly stopTimeout: number;
+	readonly logLevel: LogLevel;
+};
+
+/** Reads a settings file, or returns every fault in it, one sentence each. */
+export async function readSettings(file: string): Promise<Either<string[], Settings>> {
+	let value: unknown;
+	try {
+		value = JSON.parse(await readFile(file, 'utf8'));
+	} catch (error) {
+		return Left([`${file} can not be read as JSON: ${describeError(error)}`]);
+	}
+
+	return checkSettings(value).mapLeft(faults => faults.map(fault => `${file}: ${fault}`));
+}
+
+/** Checks settings and fills in the defaults, or returns every fault. */
+export function checkSettings(value: unknown): Either<string[], Settings> {
+	const validate = new Ajv({allErrors: true, useDefaults: true, verbose: true}).compile<Settings>(schema);
+	if (!validate(value)) {
+		return Left((validate.errors ?? []).map(error => describeFault(error)));
+	}
+
+	const ports = Object.entries(value.listeners);
+	const repeated = ports.filter(([, port], index) => ports.findIndex(([, other]) => other === port) !== index);
+	return repeated.length > 0
+		? Left(repeated.map(([name, port]) => `listeners.${name}: port ${port} is used by two listeners; give each its own`))
+		: Right(value);
+}
+
+function describeFault(error: ErrorObject): string {
+	const path = error.instancePath.slice(1).replaceAll('/', '.') || 'the settings';
+	const parameters = error.params as Record<string, unknown>;
+	switch (error.keyword) {
+		case 'additionalProperties': {
+			const known = Object.keys((error.parentSchema as {properties?: object}).properties ?? {});
+			return `${path}: key "${String(parameters.additionalProperty)}" is not known; known keys are ${known.join(', ')}`;
+		}
+
+		case 'required': {
+			return `${path}: key "${String(parameters.missingProperty)}" is missing`;
+		}
+
+		case 'enum': {
+			return `${path}: ${JSON.stringify(error.data)} is not allowed; write one of ${(parameters.allowedValues as string[]).map(allowed => `"${allowed}"`).join(', ')}`;
+		}
+
+		default: {
+			return `${path}: ${JSON.stringify(error.data)} ${error.message ?? 'is not allowed'}`;
+		}
+	}
+}
--- /dev/null
+++ b/packages/peers/src/catch-up.ts
@@ -0,0 +1,90 @@
+/** Brings a node that lags up to date from a peer. */
+import {type Clock} from '@ebonylead/base/base.js';
+import {type Logger} from '@ebonylead/base/logs.js';
+import {type AppliedVersion} from '@ebonylead/rules/applied-version.js';
+import {type Member} from './generated/peers.js';
+import {type Membership} from './membership.js';
+import {formatAddress, type PeerAddress, type PeerTransport} from './peers.js';
+import {readDeltaMessage, readSnapshotMessage} from './version-messages.js';
+
+/** What `CatchUp` needs. */
+export type CatchUpParts = {
+	readonly deployment: string;
+	readonly applied: AppliedVersion;
+	readonly membership: Membership;
+	readonly transport: PeerTransport;
+	readonly clock: Clock;
+	readonly log: Logger;
+
+	/** Called with the records that were new. */
+	readonly onMembers: (members: readonly Member[]) => void;
+};
+
+/** Longest time of one transfer in milliseconds. */
+const transferTimeout = 5000;
+
+/** Fetches versions and members that this node does not have. */
+export class CatchUp {
+	readonly #parts: CatchUpParts;
+	#fetching: Promise<void> | undefined;
+
+	constructor(parts: CatchUpParts) {
+		this.#parts = parts;
+	}
+
+	/**
+	 * Fetches what leads to a peer's version; one transfer at a time.
+	 *
+	 * @throws StepError when the peer can't be reached.
+	 */
+	async fetchVersion(address: PeerAddress): Promise<void> {
+		this.#fetching ??= this.#fetchNow(address).finally(() => {
+			this.#fetching = undefined;
+		});
+		await this.#fetching;
+	}
+
+	/**
+	 * Reconciles the membership with a peer, in both directions.
+	 *
+	 * @throws StepError when the peer can't be reached.
+	 */
+	async syncMembers(address: PeerAddress): Promise<void> {
+		const {deployment, membership, transport, clock, onMembers} = this.#parts;
+		const {bucketHashes} = membership;
+		const reply = await transport.sync(address, {deployment, bucketHashes, members: []}, transferTimeout);
+		const mine = membership.listBuckets(reply.differingBuckets);
+		onMembers(membership.merge(reply.members, clock.now()));
+		if (mine.length > 0) {
+			await transport.sync(address, {deployment, bucketHashes, members: mine}, transferTimeout);
+		}
+	}
+
+	async #fetchNow(address: PeerAddress): Promise<void> {
+		const {deployment, applied, transport, log} = this.#parts;
+		const reply = await transport.fetch(address, {deployment, haveVersion: applied.version}, transferTimeout);
+		for (const delta of reply.deltas) {
+			if (!applied.applyDelta(readDeltaMessage(delta))) {
+				log.warn(`A delta from ${formatAddress(address)} was refused; the snapshot is fetched in its place`);
+				const full = await transport.fetch(address, {deployment, haveVersion: 0}, transferTimeout);
+				this.#applySnapshot(full.snapshot, address);
+				return;
+			}
+		}
+
+		this.#applySnapshot(reply.snapshot, address);
+	}
+
+	#applySnapshot(message: Parameters<typeof readSnapshotMessage>[0] | undefined, address: PeerAddress): void {
+		if (message === undefined) {
+			return;
+		}
+
+		const {applied, log} = this.#parts;
+		readSnapshotMessage(message)
+			.ifRight(encoded => applied.apply(encoded))
+			.ifLeft(reason => {
+				log.error(`A snapshot from ${formatAddress(address)} was refused: ${reason}`);
+			});
+	}
+}
--- /dev/null
+++ b/packages/peers/src/counted-service.ts
@@ -0,0 +1,49 @@
+/** Counts the bytes of control messages where they are encoded and decoded. */
+import {type Buffer} from 'node:buffer';
+import {type ServiceDefinition, type MethodDefinition} from '@grpc/grpc-js';
+
+/** What a node carried for control. */
+export type TransportCounts = {
+	messages: number;
+	bytes: number;
+};
+
+/**
+ * Bytes that HTTP/2 and gRPC add to a message: its frame headers and its
+ * compressed header blocks on a connection in use.
+ */
+export const framingBytes = 70;
+
+type Method = MethodDefinition<unknown, unknown>;
+
+/** Returns the definition of a service whose messages are counted in both directions. */
+export function countService<Definition extends ServiceDefinition>(definition: Definition, counts: TransportCounts): Definition {
+	const methods = Object.entries(definition).map(([name, method]) => [name, countMethod(method as Method, counts)]);
+	return Object.fromEntries(methods) as Definition;
+}
+
+function countMethod(method: Method, counts: TransportCounts): Method {
+	const countBytes = (length: number) => {
+		counts.messages++;
+		counts.bytes += length + framingBytes;
+	};
+
+	const wrapEncode = (encode: (value: unknown) => Buffer) => (value: unknown) => {
+		const bytes = encode(value);
+		countBytes(bytes.length);
+		return bytes;
+	};
+
+	const wrapDecode = (decode: (bytes: Buffer) => unknown) => (bytes: Buffer) => {
+		countBytes(bytes.length);
+		return decode(bytes);
+	};
+
+	return {
+		...method,
+		requestSerialize: wrapEncode(method.requestSerialize),
+		requestDeserialize: wrapDecode(method.requestDeserialize),
+		responseSerialize: wrapEncode(method.responseSerialize),
+		responseDeserialize: wrapDecode(method.responseDeserialize),
+	};
+}
--- /dev/null
+++ b/packages/peers/src/grpc-server.ts
@@ -0,0 +1,91 @@
+/** Answers other nodes by gRPC. */
+import {
+	Server, ServerCredentials, status, type handleUnaryCall, type sendUnaryData, type ServerUnaryCall,
+} from '@grpc/grpc-js';
+import {describeError, StepError} from '@ebonylead/base/errors.js';
+import {countService, type TransportCounts} from './counted-service.js';
+import {
+	PeerService, type BeatRequest, type CensusRequest, type FetchRequest, type ProbeRequest, type PushRequest, type SyncRequest,
+} from './generated/peers.js';
+import {maxMessageBytes} from './grpc-transport.js';
+import {type PeerHandlers} from './peers.js';
+
+/** Longest time in milliseconds in which a stopping server waits for requests. */
+const stopTimeout = 1000;
+
+type Scoped = {readonly deployment: string};
+
+/** Serves the peer protocol on one port. */
+export class GrpcServer {
+	readonly #server = new Server({
+		'grpc.max_receive_message_length': maxMessageBytes,
+		'grpc.max_send_message_length': maxMessageBytes,
+		'grpc.keepalive_time_ms': 10_000,
+		'grpc.keepalive_timeout_ms': 3000,
+	});
+
+	readonly #deployment: string;
+
+	constructor(deployment: string, handlers: PeerHandlers, counts: TransportCounts) {
+		this.#deployment = deployment;
+		this.#server.addService(countService(PeerService, counts), {
+			push: this.#wrap(async (request: PushRequest) => handlers.push(request)),
+			beat: this.#wrap(async (request: BeatRequest) => handlers.beat(request)),
+			fetch: this.#wrap(async (request: FetchRequest) => handlers.fetch(request)),
+			sync: this.#wrap(async (request: SyncRequest) => handlers.sync(request)),
+			probe: this.#wrap(async (request: ProbeRequest) => handlers.probe(request)),
+			census: this.#wrap(async (request: CensusRequest) => handlers.census(request)),
+		});
+	}
+
+	/**
+	 * Starts to listen.
+	 *
+	 * @throws StepError when the port can't be used.
+	 */
+	async listen(host: string, port: number, credentials = ServerCredentials.createInsecure()): Promise<number> {
+		return new Promise((resolve, reject) => {
+			this.#server.bindAsync(`${host}:${port}`, credentials, (error, bound) => {
+				if (error) {
+					reject(new StepError('listen for peers', `${host}:${port}`, describeError(error), {cause: error}));
+				} else {
+					resolve(bound);
+				}
+			});
+		});
+	}
+
+	/** Ends the requests that run, then closes all connections. */
+	async close(): Promise<void> {
+		await new Promise<void>(resolve => {
+			const timer = setTimeout(() => {
+				this.#server.forceShutdown();
+				resolve();
+			}, stopTimeout);
+			this.#server.tryShutdown(() => {
+				clearTimeout(timer);
+				resolve();
+			});
+		});
+	}
+
+	/** Refuses other deployments, and turns errors into gRPC statuses. */
+	#wrap<Request extends Scoped, Reply>(handle: (request: Request) => Promise<Reply>): handleUnaryCall<Request, Reply> {
+		return (call: ServerUnaryCall<Request, Reply>, callback: sendUnaryData<Reply>) => {
+			if (call.request.deployment !== this.#deployment) {
+				callback({code: status.PERMISSION_DENIED, details: `this node belongs to the deployment "${this.#deployment}", not to "${call.request.deployment}"`});
+				return;
+			}
+
+			void this.#answer(handle, call.request, callback);
+		};
+	}
+
+	async #answer<Request, Reply>(handle: (request: Request) => Promise<Reply>, request: Request, callback: sendUnaryData<Reply>): Promise<void> {
+		try {
+			callback(null, await handle(request));
+		} catch (error) {
+			callback({code: status.INTERNAL, details: describeError(error)});
+		}
+	}
+}
--- /dev/null
+++ b/packages/peers/src/grpc-transport.ts
@@ -0,0 +1,142 @@
+/** Requests to other nodes by gRPC, over one connection for each peer. */
+import {
+	credentials as grpcCredentials, makeGenericClientConstructor, Metadata, type ChannelCredentials, type ServiceError,
+} from '@grpc/grpc-js';
+import {StepError} from '@ebonylead/base/errors.js';
+import {countService, type TransportCounts} from './counted-service.js';
+import {
+	PeerService, type PeerClient, type BeatReply, type BeatRequest, type CensusReply, type CensusRequest, type FetchReply, type FetchRequest,
+	type ProbeReply, type ProbeRequest, type PushReply, type PushRequest, type SyncReply, type SyncRequest,
+} from './generated/peers.js';
+import {formatAddress, type PeerAddress, type PeerTransport} from './peers.js';
+
+/** A connection that was not used for this time in milliseconds is closed. */
+const idleLimit = 30_000;
+const sweepPeriod = 10_000;
+
+/** Largest message in bytes: a snapshot of the largest rule file fits. */
+export const maxMessageBytes = 16 * 1024 * 1024;
+
+type Connection = {
+	readonly client: PeerClient;
+	usedAt: number;
+	pending: number;
+};
+
+type PeerClientConstructor = new (...options: ConstructorParameters<typeof PeerClient>) => PeerClient;
+
+type Callback<Reply> = (error: ServiceError | null, reply: Reply) => void;
+
+/** Keeps a gRPC channel for each peer in use, and closes the idle ones. */
+export class GrpcTransport implements PeerTransport {
+	/** What this node sent and received; the server counts here too. */
+	readonly counts: TransportCounts = {messages: 0, bytes: 0};
+	readonly #connections = new Map<string, Connection>();
+	readonly #credentials: ChannelCredentials;
+	readonly #Client = makeGenericClientConstructor(countService(PeerService, this.counts), 'Peer') as unknown as PeerClientConstructor;
+	readonly #sweeper: NodeJS.Timeout;
+
+	constructor(credentials: ChannelCredentials = grpcCredentials.createInsecure()) {
+		this.#credentials = credentials;
+		this.#sweeper = setInterval(() => {
+			this.#closeIdle();
+		}, sweepPeriod);
+		this.#sweeper.unref();
+	}
+
+	async push(address: PeerAddress, request: PushRequest, timeout: number): Promise<PushReply> {
+		return this.#call<PushReply>('push', address, timeout, (client, deadline, done) => client.push(request, new Metadata(), {deadline}, done));
+	}
+
+	async beat(address: PeerAddress, request: BeatRequest, timeout: number): Promise<BeatReply> {
+		return this.#call<BeatReply>('beat', address, timeout, (client, deadline, done) => client.beat(request, new Metadata(), {deadline}, done));
+	}
+
+	async fetch(address: PeerAddress, request: FetchRequest, timeout: number): Promise<FetchReply> {
+		return this.#call<FetchReply>('fetch', address, timeout, (client, deadline, done) => client.fetch(request, new Metadata(), {deadline}, done));
+	}
+
+	async sync(address: PeerAddress, request: SyncRequest, timeout: number): Promise<SyncReply> {
+		return this.#call<SyncReply>('sync', address, timeout, (client, deadline, done) => client.sync(request, new Metadata(), {deadline}, done));
+	}
+
+	async probe(address: PeerAddress, request: ProbeRequest, timeout: number): Promise<ProbeReply> {
+		return this.#call<ProbeReply>('probe', address, timeout, (client, deadline, done) => client.probe(request, new Metadata(), {deadline}, done));
+	}
+
+	async census(address: PeerAddress, request: CensusRequest, timeout: number): Promise<CensusReply> {
+		return this.#call<CensusReply>('census', address, timeout, (client, deadline, done) => client.census(request, new Metadata(), {deadline}, done));
+	}
+
+	/** Closes all connections. */
+	close(): void {
+		clearInterval(this.#sweeper);
+		for (const connection of this.#connections.values()) {
+			connection.client.close();
+		}
+
+		this.#connections.clear();
+	}
+
+	async #call<Reply>(step: string, address: PeerAddress, timeout: number, start: (client: PeerClient, deadline: number, done: Callback<Reply>) => unknown): Promise<Reply> {
+		const name = formatAddress(address);
+		const connection = this.#open(name);
+		connection.pending++;
+		try {
+			return await new Promise<Reply>((resolve, reject) => {
+				start(connection.client, Date.now() + timeout, (error, reply) => {
+					if (error) {
+						reject(new StepError(step, `node ${name}`, error.details || error.message, {cause: error}));
+					} else {
+						resolve(reply);
+					}
+				});
+			});
+		} catch (error) {
+			this.#drop(name, connection);
+			throw error;
+		} finally {
+			connection.pending--;
+			connection.usedAt = Date.now();
+		}
+	}
+
+	#open(name: string): Connection {
+		const present = this.#connections.get(name);
+		if (present) {
+			return present;
+		}
+
+		const client = new this.#Client(name, this.#credentials, {
+			'grpc.max_receive_message_length': maxMessageBytes,
+			'grpc.max_send_message_length': maxMessageBytes,
+			// Without this all clients to one address share a connection pool entry, which keeps silent connections alive.
+			'grpc.use_local_subchannel_pool': 1,
+			'grpc.enable_retries': 0,
+			'grpc.service_config_disable_resolution': 1,
+			'grpc.initial_reconnect_backoff_ms': 100,
+			'grpc.max_reconnect_backoff_ms': 2000,
+		});
+		const connection = {client, usedAt: Date.now(), pending: 0};
+		this.#connections.set(name, connection);
+		return connection;
+	}
+
+	/** Gives up a connection after a failure: it may have gone silent for good. */
+	#drop(name: string, connection: Connection): void {
+		if (this.#connections.get(name) === connection) {
+			this.#connections.delete(name);
+			connection.client.close();
+		}
+	}
+
+	#closeIdle(): void {
+		const limit = Date.now() - idleLimit;
+		for (const [name, connection] of this.#connections) {
+			if (connection.pending === 0 && connection.usedAt < limit) {
+				this.#connections.delete(name);
+				connection.client.close();
+			}
+		}
+	}
+}
--- /dev/null
+++ b/packages/peers/src/peer-node.ts
@@ -0,0 +1,314 @@
+/** The part of a node that speaks with the other nodes. */
+import {type Clock, type Random} from '@ebonylead/base/base.js';
+import {describeError} from '@ebonylead/base/errors.js';
+import {type Logger} from '@ebonylead/base/logs.js';
+import {type AppliedVersion} from '@ebonylead/rules/applied-version.js';
+import {type SnapshotDelta} from '@ebonylead/rules/snapshot-delta.js';
+import {CatchUp} from './catch-up.js';
+import {
+	MemberState, type BeatReply, type BeatRequest, type CensusReply, type CensusRequest, type FetchReply, type FetchRequest, type Member,
+	type ProbeReply, type ProbeRequest, type PushReply, type PushRequest, type SyncReply, type SyncRequest,
+} from './generated/peers.js';
+import {Heartbeats, type HeartbeatTimes} from './heartbeats.js';
+import {Membership} from './membership.js';
+import {Outbox} from './outbox.js';
+import {
+	formatAddress, getAddress, type PeerAddress, type PeerHandlers, type PeerTransport,
+} from './peers.js';
+import {SelfRecord, type SelfChange} from './self-record.js';
+import {Spreader, sumCensusReplies} from './spreader.js';
+import {
+	buildDeltaMessage, buildSnapshotMessage, decodeDelta, encodeDelta,
+} from './version-messages.js';
+
+/** What `PeerNode` needs. */
+export type PeerNodeParts = {
+	readonly deployment: string;
+	readonly member: Member;
+	readonly fanout: number;
+	readonly times: HeartbeatTimes;
+	readonly applied: AppliedVersion;
+	readonly transport: PeerTransport;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly log: Logger;
+
+	/** Returns the bytes that this node carried for control, for the census. */
+	readonly countControlBytes: () => number;
+
+	/** Says whether this node serves calls. */
+	readonly isReady: () => boolean;
+
+	/** Called when a newer process took over this identity. */
+	readonly onReplaced: () => void;
+};
+
+/** What a node learned from its peers before it serves. */
+export type Learned = {
+	/** Count of peers that answered. */
+	readonly answers: number;
+
+	/** The highest version that any of them has, or heard this identity apply. */
+	readonly version: number;
+};
+
+const probeTimeout = 800;
+
+/** Answers peers, spreads what this node learns, and watches its neighbours. */
+export class PeerNode implements PeerHandlers {
+	readonly membership = new Membership();
+	readonly #parts: PeerNodeParts;
+	readonly #self: SelfRecord;
+	readonly #spreader: Spreader;
+	readonly #outbox: Outbox;
+	readonly #catchUp: CatchUp;
+	readonly #heartbeats: Heartbeats;
+
+	constructor(parts: PeerNodeParts) {
+		const {
+			deployment, member, fanout, applied, transport, clock, random, log, times,
+		} = parts;
+		const {membership} = this;
+		this.#parts = parts;
+		this.#self = new SelfRecord(member);
+		this.#spreader = new Spreader({
+			deployment, selfId: member.id, selfAddress: getAddress(member), dataCentre: member.dataCentre, fanout, membership, transport, clock, log,
+		});
+		this.#outbox = new Outbox(this.#spreader, clock, log);
+		const onMembers = (members: readonly Member[]) => {
+			this.#noteMembers(members);
+		};
+
+		this.#catchUp = new CatchUp({
+			deployment, applied, membership, transport, clock, log, onMembers,
+		});
+		this.#heartbeats = new Heartbeats({
+			deployment,
+			self: this.#self,
+			membership,
+			applied,
+			transport,
+			catchUp: this.#catchUp,
+			outbox: this.#outbox,
+			clock,
+			random,
+			log,
+			times,
+			onRecordOfSelf: record => {
+				this.#answerRecordOfSelf(record);
+			},
+		});
+		membership.merge([member], clock.now());
+	}
+
+	/** This node's own record. */
+	get self(): Member {
+		return this.#self.member;
+	}
+
+	/**
+	 * Gets the membership from the first peers; called once before `run`.
+	 *
+	 * @returns Count of the peers that answered.
+	 */
+	async join(seeds: readonly PeerAddress[]): Promise<number> {
+		const results = await Promise.allSettled(seeds.map(async seed => this.#catchUp.syncMembers(seed)));
+		for (const [index, result] of results.entries()) {
+			if (result.status === 'rejected') {
+				this.#parts.log.info(`First peer ${formatAddress(seeds[index]!)} does not answer: ${describeError(result.reason)}`);
+			}
+		}
+
+		return results.filter(result => result.status === 'fulfilled').length;
+	}
+
+	/** Asks peers for their versions and for what they heard this identity apply, and catches up. */
+	async learnVersion(peers: readonly PeerAddress[]): Promise<Learned> {
+		const {deployment, applied, transport} = this.#parts;
+		const request = {
+			deployment, sender: this.#self.member, version: applied.version, membershipHash: this.membership.hash,
+		};
+		const results = await Promise.allSettled(peers.map(async address => ({address, reply: await transport.beat(address, request, probeTimeout)})));
+		const answers = results.filter(result => result.status === 'fulfilled').map(result => result.value).filter(({reply}) => reply.isReady);
+		const best = answers.toSorted((left, right) => right.reply.version - left.reply.version)[0];
+		if (best && best.reply.version > applied.version) {
+			await this.#catchUp.fetchVersion(best.address);
+		}
+
+		return {
+			answers: answers.length,
+			version: Math.max(0, ...answers.map(({reply}) => Math.max(reply.version, reply.senderVersion))),
+		};
+	}
+
+	/** Tells all members that this node is here, and watches its neighbours until the signal is aborted. */
+	async run(signal: AbortSignal): Promise<void> {
+		this.#outbox.add(this.#self.member);
+		await this.#heartbeats.run(signal);
+	}
+
+	/** Changes this node's own record and tells all members. */
+	changeSelf(change: SelfChange): void {
+		this.#tellOwnRecord(this.#self.update(change));
+	}
+
+	/** Tells all members that this node leaves; called first in a planned stop. */
+	async leave(): Promise<void> {
+		this.changeSelf({state: MemberState.LEFT});
+		await this.#outbox.flush();
+	}
+
+	/** Spreads an accepted version to all data centres. */
+	async spreadVersion(delta: SnapshotDelta): Promise<PushReply> {
+		return this.#spreader.spreadEverywhere({versionDelta: encodeDelta(delta), members: []});
+	}
+
+	/** Spreads an accepted version to this node's data centre. */
+	async spreadVersionLocally(delta: SnapshotDelta): Promise<PushReply> {
+		return this.#spreader.spreadLocally({versionDelta: encodeDelta(delta), members: []});
+	}
+
+	/** Counts the versions in force over all members, this node included. */
+	async takeCensus(): Promise<CensusReply> {
+		const others = await this.#spreader.takeCensusEverywhere(this.#parts.applied.version);
+		return sumCensusReplies([others, this.#countSelf(this.#parts.applied.version)]);
+	}
+
+	async push(request: PushRequest): Promise<PushReply> {
+		if (request.versionDelta.length > 0) {
+			await this.#receiveDelta(request);
+		}
+
+		this.#noteMembers(this.membership.merge(request.members, this.#parts.clock.now()));
+		if (request.range === undefined) {
+			return {reached: 1, unreached: [], unreachedCount: 0};
+		}
+
+		const below = await this.#spreader.spreadRange(request.range, {versionDelta: request.versionDelta, members: request.members});
+		return {...below, reached: below.reached + 1};
+	}
+
+	async beat(request: BeatRequest): Promise<BeatReply> {
+		const {applied, clock, isReady} = this.#parts;
+		const {sender} = request;
+		let record: Member | undefined;
+		let senderVersion = 0;
+		if (sender) {
+			senderVersion = this.membership.findHeardVersion(sender.id);
+			this.#noteMembers(this.membership.merge([sender], clock.now()));
+			this.membership.recordVersion(sender.id, request.version);
+			const known = this.membership.findMember(sender.id);
+			record = known && (known.incarnation !== sender.incarnation || known.state !== sender.state) ? known : undefined;
+		}
+
+		return {
+			id: this.#self.member.id,
+			version: applied.version,
+			membershipHash: this.membership.hash,
+			recordOfSender: record,
+			senderVersion,
+			isReady: isReady(),
+		};
+	}
+
+	async fetch(request: FetchRequest): Promise<FetchReply> {
+		const {applied} = this.#parts;
+		if (request.haveVersion >= applied.version) {
+			return {deltas: [], snapshot: undefined};
+		}
+
+		const deltas = applied.findDeltas(request.haveVersion);
+		return deltas === undefined
+			? {deltas: [], snapshot: buildSnapshotMessage(applied.current.encoded)}
+			: {deltas: deltas.map(delta => buildDeltaMessage(delta)), snapshot: undefined};
+	}
+
+	async sync(request: SyncRequest): Promise<SyncReply> {
+		const {clock} = this.#parts;
+		if (request.members.length > 0) {
+			this.#noteMembers(this.membership.merge(request.members, clock.now()));
+			return {differingBuckets: [], members: []};
+		}
+
+		const mine = this.membership.bucketHashes;
+		const differing = mine.map((_, index) => index).filter(index => mine[index] !== request.bucketHashes[index]);
+		return {differingBuckets: differing, members: this.membership.listBuckets(differing)};
+	}
+
+	async probe(request: ProbeRequest): Promise<ProbeReply> {
+		const {deployment, applied, transport} = this.#parts;
+		try {
+			await transport.beat({host: request.host, peerPort: request.port}, {
+				deployment, sender: this.#self.member, version: applied.version, membershipHash: this.membership.hash,
+			}, probeTimeout);
+			return {isReached: true};
+		} catch {
+			return {isReached: false};
+		}
+	}
+
+	async census(request: CensusRequest): Promise<CensusReply> {
+		const self = this.#countSelf(request.expectedVersion);
+		if (request.range === undefined) {
+			return self;
+		}
+
+		return sumCensusReplies([self, await this.#spreader.takeCensus(request.range, request.expectedVersion)]);
+	}
+
+	#countSelf(expectedVersion: number): CensusReply {
+		const {applied, countControlBytes} = this.#parts;
+		const {id, dataCentre} = this.#self.member;
+		return {
+			counts: [{dataCentre, version: applied.version, count: 1}],
+			laggards: applied.version < expectedVersion ? [{id, version: applied.version}] : [],
+			unreached: [],
+			controlBytes: countControlBytes(),
+			quarantined: [],
+		};
+	}
+
+	/** Applies a pushed delta; where it does not fit, fetches what is missing from the sender. */
+	async #receiveDelta(request: PushRequest): Promise<void> {
+		const {applied, log} = this.#parts;
+		const delta = decodeDelta(request.versionDelta);
+		if (applied.applyDelta(delta)) {
+			return;
+		}
+
+		await this.#catchUp.fetchVersion({host: request.senderHost, peerPort: request.senderPort});
+		if (applied.version < delta.toVersion) {
+			log.warn(`Version ${delta.toVersion} did not come with its push; this node has version ${applied.version}`);
+			throw new Error(`version ${delta.toVersion} could not be applied`);
+		}
+	}
+
+	/** Reacts to records that were new to this node. */
+	#noteMembers(members: readonly Member[]): void {
+		for (const member of members) {
+			if (member.id === this.#self.member.id) {
+				this.#answerRecordOfSelf(member);
+			} else if (member.state === MemberState.SUSPECT) {
+				this.#heartbeats.noteSuspicion(member);
+			}
+		}
+	}
+
+	#answerRecordOfSelf(record: Member): void {
+		if (this.#self.isReplacedBy(record)) {
+			this.#parts.onReplaced();
+			return;
+		}
+
+		const refutation = this.#self.refute(record);
+		if (refutation) {
+			this.#parts.log.info(`Refutes a record of itself in state ${MemberState[record.state]}`);
+			this.#tellOwnRecord(refutation);
+		}
+	}
+
+	#tellOwnRecord(record: Member): void {
+		this.membership.merge([record], this.#parts.clock.now());
+		this.#outbox.add(record);
+	}
+}
--- /dev/null
+++ b/packages/peers/src/self-record.ts
@@ -0,0 +1,55 @@
+/** What this node says about itself to all others. */
+import {MemberState, type Member} from './generated/peers.js';
+
+/** The parts of a record that change while a node runs. */
+export type SelfChange = Partial<Pick<Member, 'service' | 'upstreamState' | 'slots' | 'state'>>;
+
+/**
+ * Holds the record of this node.
+ *
+ * Only the node itself raises its incarnation. It starts from the wall clock,
+ * so that a process that replaces another at the same identity comes after it.
+ */
+export class SelfRecord {
+	#member: Member;
+
+	constructor(member: Member) {
+		this.#member = member;
+	}
+
+	/** The record as it was last changed. */
+	get member(): Member {
+		return this.#member;
+	}
+
+	/** Changes the record and raises its incarnation. */
+	update(change: SelfChange): Member {
+		this.#member = {...this.#member, ...change, incarnation: this.#member.incarnation + 1};
+		return this.#member;
+	}
+
+	/**
+	 * Answers a record of this identity that did not come from this process.
+	 *
+	 * @returns The record that refutes it, or undefined where nothing has to be said.
+	 */
+	refute(record: Member): Member | undefined {
+		const own = this.#member;
+		const isOutdated = record.incarnation < own.incarnation;
+		const isSame = record.incarnation === own.incarnation && record.state === own.state && record.instance === own.instance;
+		if (isOutdated || isSame) {
+			return undefined;
+		}
+
+		this.#member = {...own, incarnation: record.incarnation + 1};
+		return this.#member;
+	}
+
+	/** Says whether a record was made by a newer process of the same identity. */
+	isReplacedBy(record: Member): boolean {
+		return record.id === this.#member.id
+			&& record.instance !== this.#member.instance
+			&& record.state === MemberState.ALIVE
+			&& record.incarnation > this.#member.incarnation;
+	}
+}
--- /dev/null
+++ b/packages/platform/src/acceptance.ts
@@ -0,0 +1,183 @@
+/** Turns submissions into accepted versions. */
+import {computeBackoff, type Clock, type Random} from '@ebonylead/base/base.js';
+import {OutcomeUnknownError, describeError} from '@ebonylead/base/errors.js';
+import {type EncodedSnapshot, type Rule} from '@ebonylead/rules/rules.js';
+import {mergeRules, type RuleConflict, type RuleMerge} from '@ebonylead/rules/rule-merge.js';
+import {encodeSnapshot} from '@ebonylead/rules/snapshot-codec.js';
+import {Left, Right, type Either} from 'purify-ts';
+import {type ObjectStore, type TableService} from './platform.js';
+import {type Head, type VersionRecord, type VersionStore} from './versions.js';
+
+/** A rule file that an operator submits. */
+export type Submission = {
+	/** Chosen by the operator's program; the same for every try. */
+	readonly id: string;
+
+	/** The version that the file was edited from. */
+	readonly baseVersion: number;
+	readonly submitter: string;
+	readonly rules: readonly Rule[];
+};
+
+/** Why a submission was not accepted. */
+export type Refusal
+	= | {readonly kind: 'conflict'; readonly conflicts: readonly RuleConflict[]}
+		| {readonly kind: 'base-unknown'; readonly baseVersion: number; readonly headVersion: number}
+		| {readonly kind: 'unavailable'; readonly reason: string}
+		| {readonly kind: 'outcome-unknown'; readonly reason: string};
+
+/** An accepted submission. */
+export type Acceptance = {
+	readonly record: VersionRecord;
+
+	/** The snapshot of the version; undefined where an earlier try was found. */
+	readonly snapshot?: EncodedSnapshot;
+
+	/** The snapshot of the version before; undefined where an earlier try was found. */
+	readonly base?: EncodedSnapshot;
+};
+
+/** What `Acceptor` needs. */
+export type AcceptorParts = {
+	readonly table: TableService;
+	readonly objects: ObjectStore;
+	readonly versions: VersionStore;
+	readonly clock: Clock;
+	readonly random: Random;
+};
+
+const maxTries = 20;
+
+/** Most tries after which a lost answer is given up. */
+const maxSettlingTries = 8;
+const retryBase = 50;
+const retryCap = 1000;
+
+type Try = Either<Refusal, Acceptance> | 'raced';
+
+/**
+ * Accepts submissions by one transaction on the platform's table.
+ *
+ * Any number of nodes may run one at the same time: the condition on the head
+ * row lets exactly one transaction make each version. A try after a lost answer
+ * carries the same conditions, so that at most one of the two takes effect.
+ */
+export class Acceptor {
+	readonly #parts: AcceptorParts;
+
+	constructor(parts: AcceptorParts) {
+		this.#parts = parts;
+	}
+
+	/** Accepts a submission, or says why not. Submitting the same id again has no further effect. */
+	async submit(submission: Submission): Promise<Either<Refusal, Acceptance>> {
+		const {clock, random} = this.#parts;
+		let lost: OutcomeUnknownError | undefined;
+		for (let attempt = 1; attempt <= maxTries; attempt++) {
+			try {
+				const outcome = await this.#acceptOnto(await this.#parts.versions.readHead(), submission);
+				if (outcome !== 'raced') {
+					return outcome;
+				}
+			} catch (error) {
+				if (error instanceof OutcomeUnknownError) {
+					lost = error;
+				} else if (lost === undefined || attempt > maxSettlingTries) {
+					return Left(describeFailure(error, lost));
+				}
+			}
+
+			await clock.sleep(computeBackoff(random, attempt, retryBase, retryCap));
+		}
+
+		return Left(describeFailure(new Error(`${maxTries} other submissions were accepted in the meantime`), lost));
+	}
+
+	async #acceptOnto(head: Head, submission: Submission): Promise<Try> {
+		const {versions, objects} = this.#parts;
+		const earlier = await versions.readSubmission(submission.id);
+		if (earlier !== undefined) {
+			return Right({record: earlier});
+		}
+
+		const headSnapshot = await versions.readSnapshot(head.digest);
+		const merge = await this.#merge(head, headSnapshot, submission);
+		if (merge.isLeft()) {
+			return merge;
+		}
+
+		const {rules, changed, merged} = merge.extract() as RuleMerge;
+		const snapshot = encodeSnapshot({version: head.version + 1, rules});
+		await objects.writeObject(snapshot.digest, snapshot.bytes);
+		const record: VersionRecord = {
+			version: head.version + 1,
+			digest: snapshot.digest,
+			submissionId: submission.id,
+			submitter: submission.submitter,
+			acceptedAt: this.#parts.clock.wallTime(),
+			changed,
+			merged,
+		};
+		const isCommitted = await this.#commit(head, record);
+		return isCommitted ? Right({record, snapshot, base: headSnapshot}) : 'raced';
+	}
+
+	async #merge(head: Head, headSnapshot: EncodedSnapshot, submission: Submission): Promise<Either<Refusal, RuleMerge>> {
+		const {versions} = this.#parts;
+		const baseDigest = await this.#findDigest(head, submission.baseVersion);
+		if (baseDigest === undefined) {
+			return Left({kind: 'base-unknown', baseVersion: submission.baseVersion, headVersion: head.version});
+		}
+
+		const baseSnapshot = baseDigest === head.digest ? headSnapshot : await versions.readSnapshot(baseDigest);
+		return mergeRules({
+			base: baseSnapshot.snapshot,
+			head: headSnapshot.snapshot,
+			submitted: submission.rules,
+			nextVersion: head.version + 1,
+		}).mapLeft((conflicts): Refusal => ({kind: 'conflict', conflicts}));
+	}
+
+	async #findDigest(head: Head, version: number): Promise<string | undefined> {
+		if (version === head.version) {
+			return head.digest;
+		}
+
+		if (version === 0) {
+			return encodeSnapshot({version: 0, rules: []}).digest;
+		}
+
+		const record = await this.#parts.versions.readVersion(version);
+		return record?.digest;
+	}
+
+	async #commit(head: Head, record: VersionRecord): Promise<boolean> {
+		const {table, versions} = this.#parts;
+		const submissionKey = versions.buildSubmissionKey(record.submissionId);
+		const value = JSON.stringify(record);
+		const outcome = await table.runTransaction({
+			conditions: [
+				{key: versions.headKey, revision: head.revision},
+				{key: submissionKey, revision: 0},
+			],
+			writes: [
+				{key: versions.headKey, value: JSON.stringify({version: record.version, digest: record.digest})},
+				{key: versions.buildVersionKey(record.version), value},
+				{key: submissionKey, value},
+			],
+		});
+		return outcome === 'committed';
+	}
+}
+
+/**
+ * Says why a submission ended without a version.
+ *
+ * Once an answer was lost, its transaction may still take effect, and only the
+ * submission row can tell. A later failure must not be called a refusal then.
+ */
+function describeFailure(error: unknown, lost: OutcomeUnknownError | undefined): Refusal {
+	return lost === undefined
+		? {kind: 'unavailable', reason: describeError(error)}
+		: {kind: 'outcome-unknown', reason: `${lost.message}; submit again with the same submission id`};
+}
--- /dev/null
+++ b/packages/platform/src/http-platform.ts
@@ -0,0 +1,112 @@
+/** The platform's services over HTTP with JSON. */
+import {Buffer} from 'node:buffer';
+import {OutcomeUnknownError, StepError, describeError} from '@ebonylead/base/errors.js';
+import {Pool, type Dispatcher} from 'undici';
+import {
+	type ObjectStore, type Row, type TableService, type Transaction, type TransactionOutcome,
+} from './platform.js';
+
+/** Settings of the connection to the platform. */
+export type HttpPlatformOptions = {
+	/** Base address, such as `http://10.0.0.1:7000`. */
+	readonly url: string;
+
+	/** Longest time of one operation in milliseconds. */
+	readonly timeout: number;
+};
+
+const maxConnections = 4;
+const statusConflict = 409;
+const statusNotFound = 404;
+const statusUnavailable = 503;
+
+/** Codes of errors that arise before a request is sent. */
+const unsentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
+
+type Answer = {
+	readonly status: number;
+	readonly body: Buffer;
+};
+
+/** Reaches the table service and the object store by HTTP. */
+export class HttpPlatform implements TableService, ObjectStore {
+	readonly #pool: Pool;
+	readonly #peer: string;
+	readonly #timeout: number;
+
+	constructor(options: HttpPlatformOptions) {
+		this.#peer = `platform ${options.url}`;
+		this.#timeout = options.timeout;
+		this.#pool = new Pool(options.url, {connections: maxConnections, connect: {timeout: options.timeout}});
+	}
+
+	async readRow(key: string): Promise<Row | undefined> {
+		const answer = await this.#send('read row', 'GET', `/table/row?key=${encodeURIComponent(key)}`);
+		if (answer.status === statusNotFound) {
+			return undefined;
+		}
+
+		this.#checkStatus('read row', answer);
+		return JSON.parse(answer.body.toString()) as Row;
+	}
+
+	async listRows(prefix: string): Promise<Row[]> {
+		const answer = await this.#send('list rows', 'GET', `/table/rows?prefix=${encodeURIComponent(prefix)}`);
+		this.#checkStatus('list rows', answer);
+		return JSON.parse(answer.body.toString()) as Row[];
+	}
+
+	async runTransaction(transaction: Transaction): Promise<TransactionOutcome> {
+		const answer = await this.#send('run transaction', 'POST', '/table/transaction', JSON.stringify(transaction));
+		if (answer.status === statusConflict) {
+			return 'conflict';
+		}
+
+		this.#checkStatus('run transaction', answer);
+		return 'committed';
+	}
+
+	async writeObject(digest: string, bytes: Uint8Array): Promise<void> {
+		const answer = await this.#send('write object', 'PUT', `/objects/${digest}`, bytes);
+		this.#checkStatus('write object', answer);
+	}
+
+	async readObject(digest: string): Promise<Uint8Array | undefined> {
+		const answer = await this.#send('read object', 'GET', `/objects/${digest}`);
+		if (answer.status === statusNotFound) {
+			return undefined;
+		}
+
+		this.#checkStatus('read object', answer);
+		return answer.body;
+	}
+
+	/** Closes the connections. */
+	async close(): Promise<void> {
+		await this.#pool.destroy();
+	}
+
+	async #send(step: string, method: Dispatcher.HttpMethod, path: string, body?: string | Uint8Array): Promise<Answer> {
+		try {
+			const response = await this.#pool.request({
+				method, path, body, signal: AbortSignal.timeout(this.#timeout),
+			});
+			return {status: response.statusCode, body: Buffer.from(await response.body.arrayBuffer())};
+		} catch (error) {
+			const code = (error as NodeJS.ErrnoException).code ?? '';
+			const isUnsent = unsentCodes.has(code);
+			const ErrorClass = method === 'POST' && !isUnsent ? OutcomeUnknownError : StepError;
+			throw new ErrorClass(step, this.#peer, describeError(error), {cause: error});
+		}
+	}
+
+	#checkStatus(step: string, answer: Answer): void {
+		if (answer.status === statusUnavailable) {
+			throw new StepError(step, this.#peer, 'the service is unavailable');
+		}
+
+		if (answer.status >= 300) {
+			throw new StepError(step, this.#peer, `status ${answer.status}: ${answer.body.toString().slice(0, 200)}`);
+		}
+	}
+}
--- /dev/null
+++ b/packages/platform/src/platform.ts
@@ -0,0 +1,80 @@
+/**
+ * The two services of the platform that ebonylead uses.
+ *
+ * The interfaces are narrow, so that another protocol to the platform can be
+ * put behind them.
+ */
+
+/** A row of the table service. */
+export type Row = {
+	readonly key: string;
+
+	/** Content in JSON. */
+	readonly value: string;
+
+	/** Counts the writes of this row, from 1; 0 stands for a row that does not exist. */
+	readonly revision: number;
+};
+
+/** A condition of a transaction: the row must have exactly this revision. */
+export type RowCondition = {
+	readonly key: string;
+	readonly revision: number;
+};
+
+/** A write of a transaction. */
+export type RowWrite = {
+	readonly key: string;
+	readonly value: string;
+};
+
+/** Conditions and writes that take effect together, or not at all. */
+export type Transaction = {
+	readonly conditions: readonly RowCondition[];
+	readonly writes: readonly RowWrite[];
+};
+
+/** How a transaction ended: `conflict` means that a condition did not hold and nothing was written. */
+export type TransactionOutcome = 'committed' | 'conflict';
+
+/** The transactional table service. */
+export type TableService = {
+	/**
+	 * Returns a row, or undefined where it does not exist.
+	 *
+	 * @throws StepError when the service can't be reached in time.
+	 */
+	readRow(key: string): Promise<Row | undefined>;
+
+	/**
+	 * Returns the rows whose keys start with a prefix, in the order of their keys.
+	 *
+	 * @throws StepError when the service can't be reached in time.
+	 */
+	listRows(prefix: string): Promise<Row[]>;
+
+	/**
+	 * Runs a transaction.
+	 *
+	 * @throws StepError when it certainly had no effect.
+	 * @throws OutcomeUnknownError when it may have had its effect.
+	 */
+	runTransaction(transaction: Transaction): Promise<TransactionOutcome>;
+};
+
+/** The object store. Objects are named by the digest of their bytes and never change. */
+export type ObjectStore = {
+	/**
+	 * Stores bytes; storing the same bytes again has no effect.
+	 *
+	 * @throws StepError when the store can't be reached in time.
+	 */
+	writeObject(digest: string, bytes: Uint8Array): Promise<void>;
+
+	/**
+	 * Returns the bytes of an object, or undefined where it does not exist.
+	 *
+	 * @throws StepError when the store can't be reached in time.
+	 */
+	readObject(digest: string): Promise<Uint8Array | undefined>;
+};
--- /dev/null
+++ b/packages/platform/src/seeds.ts
@@ -0,0 +1,68 @@
+/** Rows that help a new node to find its first peers, one for each data centre. */
+import {type TableService} from './platform.js';
+
+/** Where a node answers its peers. */
+export type Seed = {
+	readonly id: string;
+	readonly host: string;
+	readonly peerPort: number;
+};
+
+/** Most seeds that one data centre's row keeps. */
+export const maxSeeds = 8;
+
+/** Reads and writes the rows of first peers. */
+export class SeedStore {
+	readonly #table: TableService;
+	readonly #prefix: string;
+
+	constructor(deployment: string, table: TableService) {
+		this.#table = table;
+		this.#prefix = `${deployment}/seeds/`;
+	}
+
+	/** Reads the seeds of all data centres. */
+	async readAll(): Promise<Seed[]> {
+		const rows = await this.#table.listRows(this.#prefix);
+		return rows.flatMap(row => JSON.parse(row.value) as Seed[]);
+	}
+
+	/**
+	 * Puts seeds into the row of a data centre.
+	 *
+	 * A lost race is left as it is: another node has just written the row, and
+	 * the next round compares again.
+	 *
+	 * @returns Whether the row was written.
+	 */
+	async write(dataCentre: string, seeds: readonly Seed[]): Promise<boolean> {
+		const key = this.#prefix + dataCentre;
+		const row = await this.#table.readRow(key);
+		const value = JSON.stringify(seeds.slice(0, maxSeeds));
+		if (row?.value === value) {
+			return false;
+		}
+
+		const outcome = await this.#table.runTransaction({
+			conditions: [{key, revision: row?.revision ?? 0}],
+			writes: [{key, value}],
+		});
+		return outcome === 'committed';
+	}
+
+	/** Adds one seed to the row of a data centre where it has room; used by a node that starts. */
+	async add(dataCentre: string, seed: Seed): Promise<void> {
+		const key = this.#prefix + dataCentre;
+		const row = await this.#table.readRow(key);
+		const present = row === undefined ? [] : JSON.parse(row.value) as Seed[];
+		const others = present.filter(other => other.id !== seed.id && !(other.host === seed.host && other.peerPort === seed.peerPort));
+		if (present.some(other => other.id === seed.id && other.host === seed.host && other.peerPort === seed.peerPort) || others.length >= maxSeeds) {
+			return;
+		}
+
+		await this.#table.runTransaction({
+			conditions: [{key, revision: row?.revision ?? 0}],
+			writes: [{key, value: JSON.stringify([...others, seed])}],
+		});
+	}
+}
--- /dev/null
+++ b/packages/rules/src/route-table.ts
@@ -0,0 +1,129 @@
+/** Finds the rule for a request. */
+import {buildRuleKey, type Rule, type Snapshot} from './rules.js';
+
+/** What a rule is matched against. */
+export type RequestLine = {
+	readonly method: string;
+
+	/** The host of the request, in lower case. */
+	readonly host: string;
+
+	/** The path without its query. */
+	readonly path: string;
+
+	/** Header values by lower-case name. */
+	readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+};
+
+/** A rule made ready for matching. */
+export type Route = {
+	readonly rule: Rule;
+	readonly key: string;
+	readonly segments: readonly string[];
+
+	/** Whether the path ends with `**`. */
+	readonly isPrefix: boolean;
+};
+
+/** Why a rule does not match a request; undefined where it does. */
+export type MismatchReason = 'method' | 'host' | 'path' | 'header' | undefined;
+
+/**
+ * The rules of one snapshot, the most specific one first.
+ *
+ * The order does not depend on the order of lines in the file, so that a merge
+ * of two edits can't change which rule wins.
+ */
+export class RouteTable {
+	readonly snapshot: Snapshot;
+	readonly routes: readonly Route[];
+	readonly #routesOfHost: ReadonlyMap<string, readonly Route[]>;
+
+	constructor(snapshot: Snapshot) {
+		this.snapshot = snapshot;
+		this.routes = snapshot.rules.map(rule => buildRoute(rule)).toSorted(compareRoutes);
+		this.#routesOfHost = groupByHost(this.routes);
+	}
+
+	/** Returns the most specific route for a request, or undefined. */
+	findRoute(request: RequestLine): Route | undefined {
+		const segments = request.path.split('/').slice(1);
+		return this.#findIn(request.host, request, segments) ?? this.#findIn('*', request, segments);
+	}
+
+	/** Returns the route whose rule has a key, or undefined. */
+	findRouteByKey(key: string): Route | undefined {
+		return this.routes.find(route => route.key === key);
+	}
+
+	#findIn(host: string, request: RequestLine, segments: string[]): Route | undefined {
+		return this.#routesOfHost.get(host)?.find(route => findMismatch(route, request, segments) === undefined);
+	}
+}
+
+/** Returns the first part of a request that a route does not match. */
+export function findMismatch(route: Route, request: RequestLine, segments: readonly string[] = request.path.split('/').slice(1)): MismatchReason {
+	const {rule} = route;
+	if (rule.host !== '*' && rule.host !== request.host) {
+		return 'host';
+	}
+
+	if (rule.methods.length > 0 && !rule.methods.includes(request.method)) {
+		return 'method';
+	}
+
+	if (!isPathMatch(route, segments)) {
+		return 'path';
+	}
+
+	return rule.headers.every(header => request.headers[header.name] === header.value) ? undefined : 'header';
+}
+
+function isPathMatch(route: Route, segments: readonly string[]): boolean {
+	const pattern = route.segments;
+	const isLengthRight = route.isPrefix ? segments.length >= pattern.length : segments.length === pattern.length;
+	return isLengthRight && pattern.every((part, index) => part === '*' || part === segments[index]);
+}
+
+function buildRoute(rule: Rule): Route {
+	const segments = rule.path.split('/').slice(1);
+	const isPrefix = segments.at(-1) === '**';
+	return {
+		rule,
+		key: buildRuleKey(rule),
+		segments: isPrefix ? segments.slice(0, -1) : segments,
+		isPrefix,
+	};
+}
+
+function groupByHost(routes: readonly Route[]): Map<string, Route[]> {
+	const groups = new Map<string, Route[]>();
+	for (const route of routes) {
+		const group = groups.get(route.rule.host);
+		if (group) {
+			group.push(route);
+		} else {
+			groups.set(route.rule.host, [route]);
+		}
+	}
+
+	return groups;
+}
+
+/** Orders routes: exact path first, longer path first, then headers, then methods. */
+function compareRoutes(left: Route, right: Route): number {
+	return Number(left.isPrefix) - Number(right.isPrefix)
+		|| right.segments.length - left.segments.length
+		|| countWildcards(left) - countWildcards(right)
+		|| right.rule.headers.length - left.rule.headers.length
+		|| countMethods(left) - countMethods(right)
+		|| (left.key < right.key ? -1 : 1);
+}
+
+function countWildcards(route: Route): number {
+	return route.segments.filter(segment => segment === '*').length;
+}
+
+function countMethods(route: Route): number {
+	return route.rule.methods.length === 0 ? Number.MAX_SAFE_INTEGER : route.rule.methods.length;
+}
--- /dev/null
+++ b/packages/rules/src/rule-file.ts
@@ -0,0 +1,267 @@
+/** Reads rule files, and reports every fault in them at once. */
+import {Left, Right, type Either} from 'purify-ts';
+import {parse, SyntaxError as LineSyntaxError} from './generated/rule-line.js';
+import {
+	buildRuleKey, defaultDeadline, formatRule, maxDeadline, safeMethods, type HeaderMatch, type Rule, type Snapshot,
+} from './rules.js';
+
+/** A fault in a rule file. */
+export type RuleFault = {
+	readonly file: string;
+
+	/** Line number from 1. */
+	readonly line: number;
+
+	/** Column number from 1. */
+	readonly column: number;
+
+	/** What was read there. */
+	readonly found: string;
+
+	/** What is wrong and what to write in its place. */
+	readonly advice: string;
+};
+
+/** What a rule file says. */
+export type RuleFile = {
+	/** The version that the file was edited from, if its first line names one. */
+	readonly baseVersion?: number;
+	readonly rules: readonly Rule[];
+};
+
+/** Largest count of rules that one file may hold. */
+export const maxRules = 20_000;
+
+const baseVersionPattern = /^#\s*ebonylead base version (\d+)\s*$/v;
+const maxSlots = 10_000;
+
+type Location = {readonly start: {readonly column: number}};
+
+type ParsedLine = {
+	readonly methods: readonly string[];
+	readonly host: string;
+	readonly path: string;
+	readonly headers: ReadonlyArray<HeaderMatch & {readonly location: Location}>;
+	readonly split: ReadonlyArray<{readonly service: string; readonly weight: number | null; readonly location: Location}>;
+	readonly options: ReadonlyArray<{readonly kind: 'idempotent' | 'deadline' | 'slots' | 'prefer'; readonly value: boolean | number | string; readonly location: Location}>;
+	readonly askedBy: string;
+	readonly reason: string;
+};
+
+/**
+ * Parses the text of a rule file.
+ *
+ * @returns The rules, or all faults in the order of their lines.
+ */
+export function parseRuleFile(file: string, text: string): Either<RuleFault[], RuleFile> {
+	return new RuleFileReader(file).read(text);
+}
+
+/** Returns a fault as one line of text: file, line, column, what was read, advice. */
+export function formatFault(fault: RuleFault): string {
+	return `${fault.file}:${fault.line}:${fault.column}: read ${fault.found}; ${fault.advice}`;
+}
+
+/** Returns a snapshot as the text of a rule file that can be edited and submitted. */
+export function formatRuleFile(snapshot: Snapshot): string {
+	const lines = [`# ebonylead base version ${snapshot.version}`, ...snapshot.rules.map(rule => formatRule(rule))];
+	return `${lines.join('\n')}\n`;
+}
+
+/** Reads one file; it collects faults in place of stopping at the first. */
+class RuleFileReader {
+	readonly #file: string;
+	readonly #faults: RuleFault[] = [];
+	readonly #rules: Rule[] = [];
+	readonly #lineOfKey = new Map<string, number>();
+	#baseVersion: number | undefined;
+
+	constructor(file: string) {
+		this.#file = file;
+	}
+
+	read(text: string): Either<RuleFault[], RuleFile> {
+		for (const [index, line] of text.split(/\r?\n/v).entries()) {
+			this.#readLine(index + 1, line);
+		}
+
+		if (this.#rules.length > maxRules) {
+			this.#addFault(maxRules + 1, 1, `${this.#rules.length} rules`, `write at most ${maxRules} rules in one file`);
+		}
+
+		if (this.#faults.length > 0) {
+			return Left(this.#faults);
+		}
+
+		return Right({baseVersion: this.#baseVersion, rules: this.#rules});
+	}
+
+	#readLine(number: number, line: string): void {
+		const base = baseVersionPattern.exec(line);
+		if (base) {
+			this.#baseVersion = Number(base[1]);
+			return;
+		}
+
+		if (line.trim() === '' || line.trimStart().startsWith('#')) {
+			return;
+		}
+
+		const parsed = this.#parseLine(number, line);
+		if (parsed) {
+			this.#addRule(number, parsed);
+		}
+	}
+
+	#parseLine(number: number, line: string): ParsedLine | undefined {
+		try {
+			return parse(line.trimEnd()) as ParsedLine;
+		} catch (error) {
+			if (!(error instanceof LineSyntaxError)) {
+				throw error;
+			}
+
+			this.#addSyntaxFault(number, line, error);
+			return undefined;
+		}
+	}
+
+	#addSyntaxFault(number: number, line: string, error: LineSyntaxError): void {
+		const {column} = error.location.start;
+		const rest = line.slice(column - 1).trim();
+		const found = rest === '' ? 'the end of the line' : `"${rest.slice(0, 24)}"`;
+		if (!line.includes('#')) {
+			this.#addFault(number, line.trimEnd().length + 1, 'the end of the line', 'end the line with a comment that names who asked, such as "# Ivanka Petrova: gate lookups"');
+			return;
+		}
+
+		const advice = rest.startsWith('#') ? 'name who asked after the "#", such as "# Ivanka Petrova: gate lookups"' : `write ${describeExpected(error)}`;
+		this.#addFault(number, column, found, advice);
+	}
+
+	#addRule(number: number, parsed: ParsedLine): void {
+		const rule = this.#buildRule(number, parsed);
+		const key = buildRuleKey(rule);
+		const earlier = this.#lineOfKey.get(key);
+		if (earlier !== undefined) {
+			this.#addFault(number, 1, `"${key}"`, `line ${earlier} matches the same requests; keep one of the two lines`);
+			return;
+		}
+
+		this.#lineOfKey.set(key, number);
+		this.#rules.push(rule);
+	}
+
+	#buildRule(number: number, parsed: ParsedLine): Rule {
+		const methods = [...new Set(parsed.methods)].toSorted();
+		const options = this.#collectOptions(number, parsed);
+		this.#checkPath(number, parsed.path);
+		return {
+			methods,
+			host: parsed.host,
+			path: parsed.path,
+			headers: parsed.headers.map(({name, value}) => ({name, value})).toSorted((left, right) => left.name < right.name ? -1 : 1),
+			split: this.#buildSplit(number, parsed),
+			idempotent: (options.get('idempotent') as boolean | undefined) ?? (methods.length > 0 && methods.every(method => safeMethods.includes(method))),
+			deadline: this.#checkRange(number, parsed, 'deadline', options, maxDeadline) ?? defaultDeadline,
+			slots: this.#checkRange(number, parsed, 'slots', options, maxSlots),
+			prefer: (options.get('prefer') as string | undefined) ?? 'local',
+			askedBy: parsed.askedBy,
+			reason: parsed.reason,
+			since: 0,
+		};
+	}
+
+	#collectOptions(number: number, parsed: ParsedLine): Map<string, boolean | number | string> {
+		const options = new Map<string, boolean | number | string>();
+		for (const option of parsed.options) {
+			if (options.has(option.kind)) {
+				this.#addFault(number, option.location.start.column, `a second ${option.kind} option`, 'give each option once');
+			}
+
+			options.set(option.kind, option.value);
+		}
+
+		return options;
+	}
+
+	#checkRange(number: number, parsed: ParsedLine, kind: 'deadline' | 'slots', options: Map<string, boolean | number | string>, limit: number): number | undefined {
+		const value = options.get(kind) as number | undefined;
+		if (value !== undefined && (value < 1 || value > limit)) {
+			const column = parsed.options.find(option => option.kind === kind)?.location.start.column ?? 1;
+			this.#addFault(number, column, `${kind} ${value}`, `write a ${kind} from 1 to ${limit}${kind === 'deadline' ? ' ms' : ''}`);
+		}
+
+		return value;
+	}
+
+	#checkPath(number: number, path: string): void {
+		const segments = path.split('/').slice(1);
+		for (const [index, segment] of segments.entries()) {
+			const last = index === segments.length - 1;
+			if (segment.includes('*') && segment !== '*' && !(segment === '**' && last)) {
+				this.#addFault(number, 1, `"${path}"`, 'use * for a whole segment, and ** only as the last segment');
+			}
+		}
+	}
+
+	#buildSplit(number: number, parsed: ParsedLine): Array<{service: string; weight: number}> {
+		const {split} = parsed;
+		const first = split[0]!;
+		if (split.length === 1) {
+			if (first.weight !== null && first.weight !== 100) {
+				this.#addFault(number, first.location.start.column, `${first.weight}%`, 'a single service takes 100%: leave the share out or name more services');
+			}
+
+			return [{service: first.service, weight: 100}];
+		}
+
+		const total = split.reduce((sum, share) => sum + (share.weight ?? 0), 0);
+		if (split.some(share => share.weight === null || share.weight === 0) || total !== 100) {
+			this.#addFault(number, first.location.start.column, `shares that add up to ${total}%`, 'give each service a share from 1%, and make them add up to 100%');
+		}
+
+		if (new Set(split.map(share => share.service)).size !== split.length) {
+			this.#addFault(number, first.location.start.column, 'one service twice', 'name each service once in a split');
+		}
+
+		return split.map(share => ({service: share.service, weight: share.weight ?? 0}));
+	}
+
+	#addFault(line: number, column: number, found: string, advice: string): void {
+		this.#faults.push({
+			file: this.#file, line, column, found, advice,
+		});
+	}
+}
+
+/** Returns the things that the grammar expected, in words. */
+function describeExpected(error: LineSyntaxError): string {
+	const names = error.expected?.map(item => describeExpectation(item)).filter(name => name !== undefined) ?? [];
+	const unique = [...new Set(names)];
+	return unique.length === 0 ? 'nothing more here' : unique.join(', or ');
+}
+
+function describeExpectation(item: {type: string; description?: string; text?: string}): string | undefined {
+	if (item.description === 'space') {
+		return undefined;
+	}
+
+	switch (item.type) {
+		case 'other': {
+			return item.description;
+		}
+
+		case 'literal': {
+			return `"${item.text ?? ''}"`;
+		}
+
+		case 'end': {
+			return 'the end of the line';
+		}
+
+		default: {
+			return undefined;
+		}
+	}
+}
--- /dev/null
+++ b/packages/rules/src/snapshot-codec.ts
@@ -0,0 +1,92 @@
+/** Encodes snapshots as bytes, and checks bytes that come from elsewhere. */
+import {Buffer} from 'node:buffer';
+import {computeDigest} from '@ebonylead/base/hash.js';
+import {Left, Right, type Either} from 'purify-ts';
+import {
+	buildRuleKey, type EncodedSnapshot, type Rule, type ServiceShare, type Snapshot,
+} from './rules.js';
+
+const formatNumber = 1;
+
+/** Encodes a snapshot; the same snapshot always gives the same bytes. */
+export function encodeSnapshot(snapshot: Snapshot): EncodedSnapshot {
+	const rules = snapshot.rules.map(rule => orderFields(rule)).toSorted(compareRules);
+	const ordered = {version: snapshot.version, rules};
+	const bytes = Buffer.from(JSON.stringify({format: formatNumber, ...ordered}));
+	return {snapshot: ordered, bytes, digest: computeDigest(bytes)};
+}
+
+/** The snapshot that every node starts from: version 0, no rules. */
+export const emptySnapshot: EncodedSnapshot = encodeSnapshot({version: 0, rules: []});
+
+/**
+ * Decodes the bytes of a snapshot.
+ *
+ * @returns The snapshot, or a reason why the bytes may not be applied.
+ */
+export function decodeSnapshot(bytes: Uint8Array, digest: string): Either<string, EncodedSnapshot> {
+	if (computeDigest(bytes) !== digest) {
+		return Left(`the bytes do not have the digest ${digest}`);
+	}
+
+	try {
+		const value = JSON.parse(Buffer.from(bytes).toString('utf8')) as {format: number; version: number; rules: Rule[]};
+		const fault = findFault(value);
+		return fault === undefined
+			? Right({snapshot: {version: value.version, rules: value.rules}, bytes, digest})
+			: Left(fault);
+	} catch (error) {
+		return Left(`the bytes are not a snapshot: ${(error as Error).message}`);
+	}
+}
+
+/** Finds what makes a decoded value unfit to be enforced. */
+function findFault(value: {format: number; version: number; rules: Rule[]}): string | undefined {
+	if (value.format !== formatNumber) {
+		return `format ${String(value.format)} is not known; this program reads format ${formatNumber}`;
+	}
+
+	if (!Number.isSafeInteger(value.version) || value.version < 0 || !Array.isArray(value.rules)) {
+		return 'the version or the list of rules is missing';
+	}
+
+	const bad = value.rules.find(rule => !isRule(rule));
+	return bad === undefined ? undefined : `a rule is incomplete: ${JSON.stringify(bad).slice(0, 200)}`;
+}
+
+function isRule(rule: Rule): boolean {
+	const split = rule.split as readonly ServiceShare[] | undefined;
+	return Array.isArray(rule.methods)
+		&& typeof rule.host === 'string'
+		&& typeof rule.path === 'string'
+		&& Array.isArray(rule.headers)
+		&& Array.isArray(split) && split.length > 0
+		&& (split as readonly ServiceShare[]).every(share => typeof share.service === 'string' && share.weight > 0)
+		&& typeof rule.idempotent === 'boolean'
+		&& rule.deadline > 0
+		&& typeof rule.prefer === 'string';
+}
+
+/** Puts the fields in a fixed order, as JSON keeps the order of insertion. */
+function orderFields(rule: Rule): Rule {
+	return {
+		methods: rule.methods,
+		host: rule.host,
+		path: rule.path,
+		headers: rule.headers.map(({name, value}) => ({name, value})),
+		split: rule.split.map(({service, weight}) => ({service, weight})),
+		idempotent: rule.idempotent,
+		deadline: rule.deadline,
+		...(rule.slots === undefined ? {} : {slots: rule.slots}),
+		prefer: rule.prefer,
+		askedBy: rule.askedBy,
+		reason: rule.reason,
+		since: rule.since,
+	};
+}
+
+function compareRules(left: Rule, right: Rule): number {
+	const leftKey = buildRuleKey(left);
+	const rightKey = buildRuleKey(right);
+	return leftKey < rightKey ? -1 : Number(leftKey > rightKey);
+}
--- /dev/null
+++ b/packages/rules/src/test/applied-version_test.ts
@@ -0,0 +1,90 @@
+import fc from 'fast-check';
+import {describe, it} from '@ebonylead/stand-ins/describe.js';
+import {AppliedVersion} from '../applied-version.js';
+import {parseRuleFile} from '../rule-file.js';
+import {type EncodedSnapshot} from '../rules.js';
+import {decodeSnapshot, emptySnapshot, encodeSnapshot} from '../snapshot-codec.js';
+import {computeDelta, type SnapshotDelta} from '../snapshot-delta.js';
+
+function makeSnapshot(version: number): EncodedSnapshot {
+	const lines = Array.from({length: 5}, (_, index) => `GET a.example/${(version * 3) + index} -> s${version} # A`);
+	return encodeSnapshot({version, rules: parseRuleFile('f', lines.join('\n')).unsafeCoerce().rules});
+}
+
+const snapshots = [emptySnapshot, ...Array.from({length: 8}, (_, index) => makeSnapshot(index + 1))];
+
+type Update
+	= | {readonly kind: 'snapshot'; readonly encoded: EncodedSnapshot}
+		| {readonly kind: 'delta'; readonly delta: SnapshotDelta};
+
+const update: fc.Arbitrary<Update> = fc.oneof(
+	fc.nat(8).map((version): Update => ({kind: 'snapshot', encoded: snapshots[version]!})),
+	fc.tuple(fc.nat(8), fc.nat(8)).map(([from, to]): Update => ({kind: 'delta', delta: computeDelta(snapshots[from]!.snapshot, snapshots[to]!)})),
+	fc.tuple(fc.nat(7), fc.nat(4)).map(([from, cut]): Update => {
+		const delta = computeDelta(snapshots[from]!.snapshot, snapshots[from + 1]!);
+		return {kind: 'delta', delta: {...delta, changed: delta.changed.slice(0, cut)}};
+	}),
+);
+
+describe('applied version', () => {
+	it('never goes back and is never partial, in any order of crossed, doubled and damaged updates', t => {
+		t.notThrows(() => {
+			fc.assert(fc.property(fc.array(update, {maxLength: 40}), updates => {
+				const applied = new AppliedVersion();
+				for (const next of updates) {
+					const before = applied.version;
+					if (next.kind === 'snapshot') {
+						applied.apply(next.encoded);
+					} else {
+						applied.applyDelta(next.delta);
+					}
+
+					const {encoded} = applied.current;
+					if (applied.version < before || encoded.digest !== snapshots[applied.version]!.digest) {
+						return false;
+					}
+				}
+
+				return true;
+			}), {seed: 20_261_203, numRuns: 300});
+		});
+	});
+
+	it('keeps the deltas that lead from earlier versions to its own', t => {
+		const applied = new AppliedVersion();
+		applied.apply(snapshots[1]!);
+		applied.apply(snapshots[2]!);
+		applied.apply(snapshots[3]!);
+		const behind = new AppliedVersion();
+		behind.apply(snapshots[1]!);
+		for (const delta of applied.findDeltas(1)!) {
+			t.true(behind.applyDelta(delta));
+		}
+
+		t.is(behind.current.encoded.digest, snapshots[3]!.digest);
+		t.is(applied.findDeltas(7), undefined);
+	});
+
+	it('leaves a request the snapshot that it started with', t => {
+		const applied = new AppliedVersion();
+		applied.apply(snapshots[1]!);
+		const held = applied.current;
+		applied.apply(snapshots[2]!);
+		t.is(held.encoded.snapshot.version, 1);
+		t.is(held.routes.snapshot.version, 1);
+	});
+});
+
+describe('snapshot codec', () => {
+	it('refuses bytes that do not have the digest, and bytes that are no snapshot', t => {
+		const {bytes, digest} = snapshots[2]!;
+		t.true(decodeSnapshot(bytes, digest).isRight());
+		t.true(decodeSnapshot(bytes.subarray(1), digest).isLeft());
+		t.true(decodeSnapshot(snapshots[3]!.bytes, digest).isLeft());
+	});
+
+	it('refuses a rule without a service, even under a right digest', t => {
+		const broken = encodeSnapshot({version: 9, rules: [{...snapshots[1]!.snapshot.rules[0]!, split: []}]});
+		t.true(decodeSnapshot(broken.bytes, broken.digest).isLeft());
+	});
+});
--- /dev/null
+++ b/packages/stand-ins/src/fake-clock.ts
@@ -0,0 +1,71 @@
+/** Virtual time for tests. */
+import {type Clock} from '@ebonylead/base/base.js';
+
+type Sleeper = {
+	readonly wakeAt: number;
+	readonly wake: () => void;
+};
+
+/** Rounds of the event loop that follow each step, so that woken tasks run on. */
+const settleRounds = 20;
+const startOfWallTime = 1_800_000_000_000;
+
+/** A clock that moves only when it is told to. */
+export class FakeClock implements Clock {
+	#now = 0;
+	#sleepers: Sleeper[] = [];
+
+	now(): number {
+		return this.#now;
+	}
+
+	wallTime(): number {
+		return startOfWallTime + this.#now;
+	}
+
+	async sleep(duration: number, signal?: AbortSignal): Promise<void> {
+		if (signal?.aborted) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			this.#sleepers.push({wakeAt: this.#now + duration, wake: resolve});
+			signal?.addEventListener('abort', () => {
+				resolve();
+			});
+		});
+	}
+
+	/** Moves time on, and wakes each sleeper at its time. */
+	async advance(duration: number): Promise<void> {
+		const end = this.#now + duration;
+		for (;;) {
+			await settle();
+			const next = this.#sleepers.toSorted((left, right) => left.wakeAt - right.wakeAt)[0];
+			if (next === undefined || next.wakeAt > end) {
+				break;
+			}
+
+			this.#sleepers = this.#sleepers.filter(sleeper => sleeper !== next);
+			this.#now = Math.max(this.#now, next.wakeAt);
+			next.wake();
+		}
+
+		this.#now = end;
+		await settle();
+	}
+
+	/** Moves time on without waking anybody, as when the process was paused. */
+	jump(duration: number): void {
+		this.#now += duration;
+	}
+}
+
+/** Lets the tasks that can run do so. */
+export async function settle(): Promise<void> {
+	for (let round = 0; round < settleRounds; round++) {
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+}
--- /dev/null
+++ b/packages/stand-ins/src/fake-platform.ts
@@ -0,0 +1,101 @@
+/** A table service and an object store in memory, with faults on demand. */
+import {OutcomeUnknownError, StepError} from '@ebonylead/base/errors.js';
+import {type Clock} from '@ebonylead/base/base.js';
+import {
+	type ObjectStore, type Row, type TableService, type Transaction, type TransactionOutcome,
+} from '@ebonylead/platform/platform.js';
+
+/** What the fake platform may be told to do wrong. */
+export type PlatformFaults = {
+	/** Refuses every operation before it has an effect. */
+	isDown: boolean;
+
+	/** Delay of every operation in milliseconds. */
+	delay: number;
+
+	/** Count of coming transactions whose answers are lost after their effect. */
+	lostAnswers: number;
+};
+
+/** Counts of operations since the start. */
+export type PlatformCounts = {
+	reads: number;
+	writes: number;
+};
+
+/** Keeps rows and objects in memory and causes the faults it is told to. */
+export class FakePlatform implements TableService, ObjectStore {
+	readonly faults: PlatformFaults = {isDown: false, delay: 0, lostAnswers: 0};
+	readonly counts: PlatformCounts = {reads: 0, writes: 0};
+	/** Called right after an answer was lost, to cause a second fault at that point. */
+	onLostAnswer: (() => void) | undefined;
+	readonly #rows = new Map<string, Row>();
+	readonly #objects = new Map<string, Uint8Array>();
+	readonly #clock: Clock;
+
+	constructor(clock: Clock) {
+		this.#clock = clock;
+	}
+
+	async readRow(key: string): Promise<Row | undefined> {
+		await this.#enter('read row');
+		this.counts.reads++;
+		return this.#rows.get(key);
+	}
+
+	async listRows(prefix: string): Promise<Row[]> {
+		await this.#enter('list rows');
+		this.counts.reads++;
+		const rows = [...this.#rows.values()].filter(row => row.key.startsWith(prefix));
+		return rows.toSorted((left, right) => left.key < right.key ? -1 : 1);
+	}
+
+	async runTransaction(transaction: Transaction): Promise<TransactionOutcome> {
+		await this.#enter('run transaction');
+		this.counts.writes++;
+		const outcome = this.#runNow(transaction);
+		if (this.faults.lostAnswers > 0) {
+			this.faults.lostAnswers--;
+			this.onLostAnswer?.();
+			throw new OutcomeUnknownError('run transaction', 'fake platform', 'the answer was lost');
+		}
+
+		return outcome;
+	}
+
+	async writeObject(digest: string, bytes: Uint8Array): Promise<void> {
+		await this.#enter('write object');
+		this.counts.writes++;
+		this.#objects.set(digest, bytes);
+	}
+
+	async readObject(digest: string): Promise<Uint8Array | undefined> {
+		await this.#enter('read object');
+		this.counts.reads++;
+		return this.#objects.get(digest);
+	}
+
+	#runNow(transaction: Transaction): TransactionOutcome {
+		const isHeld = transaction.conditions.every(({key, revision}) => (this.#rows.get(key)?.revision ?? 0) === revision);
+		if (!isHeld) {
+			return 'conflict';
+		}
+
+		for (const {key, value} of transaction.writes) {
+			const revision = (this.#rows.get(key)?.revision ?? 0) + 1;
+			this.#rows.set(key, {key, value, revision});
+		}
+
+		return 'committed';
+	}
+
+	async #enter(step: string): Promise<void> {
+		if (this.faults.delay > 0) {
+			await this.#clock.sleep(this.faults.delay);
+		}
+
+		if (this.faults.isDown) {
+			throw new StepError(step, 'fake platform', 'the service is unavailable');
+		}
+	}
+}
--- /dev/null
+++ b/packages/stand-ins/src/platform-server.ts
@@ -0,0 +1,104 @@
+/** The stand-in platform as a process: the fake platform behind HTTP. */
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {buffer} from 'node:stream/consumers';
+import {SystemClock} from '@ebonylead/base/base.js';
+import {OutcomeUnknownError} from '@ebonylead/base/errors.js';
+import {type Transaction} from '@ebonylead/platform/platform.js';
+import {FakePlatform, type PlatformFaults} from './fake-platform.js';
+
+/** Serves a fake platform on a port of the loopback address. */
+export async function servePlatform(port: number): Promise<FakePlatform> {
+	const platform = new FakePlatform(new SystemClock());
+	const server = createServer((request, response) => {
+		void serveRequest(platform, request, response);
+	});
+	await new Promise<void>(resolve => {
+		server.listen(port, '127.0.0.1', resolve);
+	});
+	return platform;
+}
+
+async function serveRequest(platform: FakePlatform, request: IncomingMessage, response: ServerResponse): Promise<void> {
+	try {
+		await new PlatformExchange(platform, request, response).answer();
+	} catch (error) {
+		if (error instanceof OutcomeUnknownError) {
+			response.destroy();
+			return;
+		}
+
+		response.writeHead(503).end(String(error));
+	}
+}
+
+/** One request to the platform. */
+class PlatformExchange {
+	readonly #platform: FakePlatform;
+	readonly #request: IncomingMessage;
+	readonly #response: ServerResponse;
+	readonly #url: URL;
+
+	constructor(platform: FakePlatform, request: IncomingMessage, response: ServerResponse) {
+		this.#platform = platform;
+		this.#request = request;
+		this.#response = response;
+		this.#url = new URL(request.url ?? '/', 'http://platform');
+	}
+
+	async answer(): Promise<void> {
+		const {pathname} = this.#url;
+		switch (`${this.#request.method} ${pathname}`) {
+			case 'GET /table/row': {
+				this.#sendJson(await this.#platform.readRow(this.#url.searchParams.get('key') ?? ''));
+				return;
+			}
+
+			case 'GET /table/rows': {
+				this.#sendJson(await this.#platform.listRows(this.#url.searchParams.get('prefix') ?? ''));
+				return;
+			}
+
+			case 'POST /table/transaction': {
+				const transaction = JSON.parse(await this.#readText()) as Transaction;
+				const outcome = await this.#platform.runTransaction(transaction);
+				this.#response.writeHead(outcome === 'committed' ? 200 : 409).end();
+				return;
+			}
+
+			case 'POST /faults': {
+				Object.assign(this.#platform.faults, JSON.parse(await this.#readText()) as Partial<PlatformFaults>);
+				this.#response.end();
+				return;
+			}
+
+			case 'GET /counts': {
+				this.#sendJson(this.#platform.counts);
+				return;
+			}
+
+			default: {
+				await this.#answerObject(pathname.replace('/objects/', ''));
+			}
+		}
+	}
+
+	async #answerObject(digest: string): Promise<void> {
+		if (this.#request.method === 'PUT') {
+			await this.#platform.writeObject(digest, await buffer(this.#request));
+			this.#response.end();
+			return;
+		}
+
+		const bytes = await this.#platform.readObject(digest);
+		this.#response.writeHead(bytes === undefined ? 404 : 200).end(bytes);
+	}
+
+	#sendJson(value: unknown): void {
+		this.#response.writeHead(value === undefined ? 404 : 200).end(value === undefined ? undefined : JSON.stringify(value));
+	}
+
+	async #readText(): Promise<string> {
+		const bytes = await buffer(this.#request);
+		return bytes.toString();
+	}
+}
--- /dev/null
+++ b/packages/stand-ins/src/stand-ins.ts
@@ -0,0 +1,27 @@
+/** Entry for stand-in processes: `stand-ins.js platform PORT` or `stand-ins.js upstream JSON`. */
+import process from 'node:process';
+import {servePlatform} from './platform-server.js';
+import {UpstreamStandIn, type UpstreamStandInOptions} from './upstream-stand-in.js';
+
+const [kind, argument] = process.argv.slice(2);
+
+async function startStandIn(): Promise<void> {
+	if (kind === 'platform') {
+		await servePlatform(Number(argument));
+		return;
+	}
+
+	if (kind !== 'upstream') {
+		process.stderr.write('Usage: stand-ins platform PORT | stand-ins upstream JSON\n');
+		process.exitCode = 2;
+		return;
+	}
+
+	const upstream = new UpstreamStandIn(JSON.parse(argument ?? '{}') as UpstreamStandInOptions);
+	await upstream.start();
+	process.on('SIGTERM', () => {
+		void upstream.drainAndStop();
+	});
+}
+
+void startStandIn();
--- /dev/null
+++ b/packages/upstreams/src/announcement-listener.ts
@@ -0,0 +1,106 @@
+/** Takes the announcements of the upstream beside this node. */
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {json} from 'node:stream/consumers';
+import {StepError, describeError} from '@ebonylead/base/errors.js';
+import {type UpstreamLink} from './upstream-link.js';
+import {type UpstreamAnnouncement} from './upstreams.js';
+
+/** Largest announcement in bytes. */
+const maxBytes = 4096;
+
+/** Serves `POST /announce`. */
+export class AnnouncementListener {
+	readonly #link: UpstreamLink;
+	readonly #server: Server;
+
+	constructor(link: UpstreamLink) {
+		this.#link = link;
+		this.#server = createServer((request, response) => {
+			void this.#answer(request, response);
+		});
+	}
+
+	/**
+	 * Starts to listen.
+	 *
+	 * @throws StepError when the port can't be used.
+	 */
+	async listen(host: string, port: number): Promise<void> {
+		await listenOn(this.#server, host, port, 'listen for announcements');
+	}
+
+	/** Stops listening. */
+	close(): void {
+		this.#server.close();
+		this.#server.closeAllConnections();
+	}
+
+	async #answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		if (request.method !== 'POST' || request.url !== '/announce') {
+			response.writeHead(404).end('Send announcements with POST to /announce.\n');
+			return;
+		}
+
+		if (Number(request.headers['content-length'] ?? maxBytes + 1) > maxBytes) {
+			response.writeHead(413).end(`Send an announcement of at most ${maxBytes} bytes, with its length.\n`);
+			return;
+		}
+
+		try {
+			const fault = findAnnouncementFault(await json(request));
+			if (typeof fault === 'string') {
+				response.writeHead(400).end(`${fault}\n`);
+				return;
+			}
+
+			this.#link.receive(fault);
+			response.writeHead(204).end();
+		} catch (error) {
+			response.writeHead(400).end(`The announcement is not JSON: ${describeError(error)}\n`);
+		}
+	}
+}
+
+/** Listens on a port, or says which one can't be used. */
+export async function listenOn(server: Server, host: string, port: number, step: string): Promise<void> {
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', error => {
+			reject(new StepError(step, `${host}:${port}`, describeError(error), {cause: error}));
+		});
+		server.listen(port, host, resolve);
+	});
+}
+
+/** Returns the announcement, or what is wrong with it. */
+function findAnnouncementFault(value: unknown): UpstreamAnnouncement | string {
+	if (typeof value !== 'object' || value === null) {
+		return 'The announcement is no object.';
+	}
+
+	const {service, url, slots, connections, state} = value as Partial<UpstreamAnnouncement>;
+	if (typeof service !== 'string' || !/^[a-z][a-z0-9\-]*$/v.test(service)) {
+		return '"service" must be a service name such as "lot-desk".';
+	}
+
+	if (typeof url !== 'string' || !URL.canParse(url) || !url.startsWith('http://')) {
+		return '"url" must be an address such as "http://127.0.0.1:9000".';
+	}
+
+	if (!isCount(slots) || !isCount(connections)) {
+		return '"slots" and "connections" must be whole numbers from 1.';
+	}
+
+	if (state !== 'ready' && state !== 'draining') {
+		return '"state" must be "ready" or "draining".';
+	}
+
+	return {
+		service, url, slots, connections, state,
+	};
+}
+
+function isCount(value: unknown): value is number {
+	return Number.isSafeInteger(value) && (value as number) >= 1;
+}
--- /dev/null
+++ b/packages/upstreams/src/refusals.ts
@@ -0,0 +1,38 @@
+/** Writes the answers that ebonylead makes itself. */
+import {Buffer} from 'node:buffer';
+import {type ServerResponse} from 'node:http';
+import {meshHeaders, type Refusal} from './upstreams.js';
+
+const millisecondsPerSecond = 1000;
+
+/**
+ * Answers a call in place of an upstream.
+ *
+ * Where an answer has already begun, the connection is cut: a caller never
+ * gets a short answer that looks whole.
+ */
+export function sendRefusal(response: ServerResponse, refusal: Refusal): void {
+	if (response.headersSent) {
+		response.destroy();
+		return;
+	}
+
+	if (response.destroyed) {
+		return;
+	}
+
+	const body = JSON.stringify({outcome: refusal.outcome, reason: refusal.reason});
+	const headers: Record<string, string | number> = {
+		'content-type': 'application/json',
+		'content-length': Buffer.byteLength(body),
+		[meshHeaders.outcome]: refusal.outcome,
+		[meshHeaders.reason]: refusal.reason,
+	};
+	if (refusal.retryAfter !== undefined) {
+		headers[meshHeaders.retryAfter] = refusal.retryAfter;
+		headers['retry-after'] = Math.max(1, Math.ceil(refusal.retryAfter / millisecondsPerSecond));
+	}
+
+	response.writeHead(refusal.status, headers);
+	response.end(body);
+}
--- /dev/null
+++ b/packages/upstreams/src/upstream-link.ts
@@ -0,0 +1,118 @@
+/** The upstream beside this node: what it announced, its slots and its connections. */
+import {type Clock} from '@ebonylead/base/base.js';
+import {type Logger} from '@ebonylead/base/logs.js';
+import {StateCell} from '@ebonylead/base/state-cell.js';
+import {Pool} from 'undici';
+import {AdmissionControl} from './admission.js';
+import {type UpstreamAnnouncement} from './upstreams.js';
+
+/** Whether the upstream takes calls. */
+export type UpstreamStatus = {
+	readonly state: 'absent' | 'ready' | 'draining';
+	readonly service: string;
+	readonly slots: number;
+};
+
+/** Time in milliseconds after which an upstream that does not announce itself again is absent. */
+const announcementLifetime = 5000;
+const checkPeriod = 500;
+const connectTimeout = 1000;
+
+/** Idle connections are closed earlier than common servers close them, so that few calls meet a closing one. */
+const keepAliveTime = 4000;
+
+/** Follows the announcements of the upstream beside this node. */
+export class UpstreamLink {
+	readonly status = new StateCell<UpstreamStatus>({state: 'absent', service: '', slots: 0});
+	readonly admission: AdmissionControl;
+	readonly #clock: Clock;
+	readonly #log: Logger;
+	#announcement: UpstreamAnnouncement | undefined;
+	#announcedAt = 0;
+	#pool: Pool | undefined;
+
+	constructor(clock: Clock, log: Logger) {
+		this.#clock = clock;
+		this.#log = log;
+		this.admission = new AdmissionControl(clock, 0);
+	}
+
+	/** The connections to the upstream, or undefined where none was announced. */
+	get pool(): Pool | undefined {
+		return this.#pool;
+	}
+
+	/** The address of the upstream; empty where none was announced. */
+	get origin(): string {
+		return this.#announcement?.url ?? '';
+	}
+
+	/** Takes an announcement; the upstream repeats it as a heartbeat. */
+	receive(announcement: UpstreamAnnouncement): void {
+		const before = this.#announcement;
+		this.#announcement = announcement;
+		this.#announcedAt = this.#clock.now();
+		if (this.#pool === undefined || before?.url !== announcement.url || before.connections !== announcement.connections) {
+			this.#replacePool(announcement);
+		}
+
+		if (before?.slots !== announcement.slots) {
+			this.admission.setSlots(announcement.slots);
+		}
+
+		this.#setState(announcement.state);
+	}
+
+	/** Watches for an upstream that falls silent, until the signal is aborted. */
+	async run(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			await this.#clock.sleep(checkPeriod, signal);
+			if (this.#announcement && this.#clock.now() - this.#announcedAt > announcementLifetime) {
+				this.#setState('absent');
+			}
+		}
+	}
+
+	/**
+	 * Notes that the upstream refused a connection: it is gone before its
+	 * announcement has lapsed. Its next announcement brings it back.
+	 */
+	reportRefusedConnection(): void {
+		this.#setState('absent');
+	}
+
+	/** Closes the connections. */
+	async close(): Promise<void> {
+		await this.#pool?.destroy();
+	}
+
+	#setState(state: UpstreamStatus['state']): void {
+		const {service, slots} = this.#announcement!;
+		const before = this.status.value;
+		if (before.state === state && before.service === service && before.slots === slots) {
+			return;
+		}
+
+		this.#log.info(`Upstream of "${service}" is ${state}`);
+		if (state === 'ready') {
+			this.admission.open();
+		} else {
+			this.admission.close();
+		}
+
+		this.status.set({state, service, slots});
+	}
+
+	#replacePool(announcement: UpstreamAnnouncement): void {
+		const before = this.#pool;
+		this.#pool = new Pool(announcement.url, {
+			connections: announcement.connections,
+			pipelining: 1,
+			keepAliveTimeout: keepAliveTime,
+			keepAliveMaxTimeout: keepAliveTime,
+			connect: {timeout: connectTimeout},
+		});
+		// Calls on the earlier pool end there.
+		void before?.close();
+	}
+}
--- /dev/null
+++ b/packages/upstreams/src/upstreams.ts
@@ -0,0 +1,80 @@
+/**
+ * What the two hops of a call say to each other, and what an upstream
+ * announces to the node beside it.
+ */
+
+/** Headers between nodes, and from nodes to callers. All start with `x-ebonylead-`. */
+export const meshHeaders = {
+	/** Milliseconds that are left of the call's deadline. */
+	deadline: 'x-ebonylead-deadline',
+
+	/** Count of the try, from 1; a call below a retried one carries the same count. */
+	attempt: 'x-ebonylead-attempt',
+
+	/** Identifies a call in logs, from the first node to the last upstream. */
+	requestId: 'x-request-id',
+
+	/** Who calls, for the fairness between callers. */
+	caller: 'x-ebonylead-caller',
+
+	/** Key of the rule that matched. */
+	route: 'x-ebonylead-route',
+
+	/** Most calls of the route at once on the upstream. */
+	routeSlots: 'x-ebonylead-route-slots',
+
+	/** `not-run` or `unknown`, on answers that ebonylead itself makes. */
+	outcome: 'x-ebonylead-outcome',
+
+	/** Why ebonylead made the answer itself. */
+	reason: 'x-ebonylead-reason',
+
+	/** Milliseconds after which a refused call may come again. */
+	retryAfter: 'x-ebonylead-retry-after-ms',
+
+	/** Calls in flight and waiting at the upstream, for each of its slots. */
+	load: 'x-ebonylead-load',
+
+	/** Version of the rules that the call ran under. */
+	version: 'x-ebonylead-version',
+} as const;
+
+/** Prefix of all headers that only nodes may set. */
+export const meshHeaderPrefix = 'x-ebonylead-';
+
+/** What ebonylead says about a call that it answers itself. */
+export const outcomes = {
+	/** The call did not run: no byte of it reached an upstream. */
+	notRun: 'not-run',
+
+	/** The call may have run. */
+	unknown: 'unknown',
+} as const;
+
+/** One of the outcomes. */
+export type Outcome = typeof outcomes[keyof typeof outcomes];
+
+/** An answer that ebonylead makes itself. */
+export type Refusal = {
+	readonly status: number;
+	readonly outcome: Outcome;
+	readonly reason: string;
+
+	/** Milliseconds after which the caller may come again. */
+	readonly retryAfter?: number;
+};
+
+/** What an upstream announces. */
+export type UpstreamAnnouncement = {
+	readonly service: string;
+
+	/** Address such as `http://127.0.0.1:9000`. */
+	readonly url: string;
+
+	/** Most calls at once. */
+	readonly slots: number;
+
+	/** Most connections at once. */
+	readonly connections: number;
+	readonly state: 'ready' | 'draining';
+};
