--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -4,6 +4,7 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
+import {type DelayRelayOptions} from '@ebonylead/stand-ins/delay-relay.js';
 import {type UpstreamStandInOptions} from '@ebonylead/stand-ins/upstream-stand-in.js';
 import {request} from 'undici';
 
@@ -32,6 +33,12 @@
 
 	/** Starts nodes only, without upstreams. */
 	readonly isBare?: boolean;
+
+	/** One-way delay between nodes in milliseconds; undefined for none. */
+	readonly delay?: number;
+
+	/** Address at which nodes reach each other through the delay, one for each fleet. */
+	readonly relayHost?: string;
 };
 
 /** Ports of a node. */
@@ -58,6 +65,11 @@
 		this.options = options;
 	}
 
+	/** File with a line of JSON for each run on an upstream. */
+	get runLogFile(): string {
+		return path.join(this.directory, 'runs.jsonl');
+	}
+
 	/** Address of the platform. */
 	get platformUrl(): string {
 		return `http://${host}:${this.options.basePort}`;
@@ -66,6 +78,7 @@
 	/** Starts the platform, then all upstreams and nodes. */
 	async start(): Promise<void> {
 		await this.startPlatform();
+		this.#startRelay();
 		for (const place of this.options.places) {
 			this.startPlace(place);
 		}
@@ -99,6 +112,7 @@
 			serviceTime: place.serviceTime,
 			announceUrl: `http://${host}:${this.getPorts(place).announcements}/announce`,
 			isCrashable: true,
+			runLogFile: this.runLogFile,
 		};
 		this.#spawn(`upstream ${place.id}`, [process.execPath, 'dist/stand-ins.cjs', 'upstream', JSON.stringify(options)]);
 	}
@@ -109,7 +123,7 @@
 		writeFileSync(file, JSON.stringify({
 			deployment: this.options.deployment,
 			node: {
-				id: place.id, host, dataCentre: place.dataCentre, region: place.region,
+				id: place.id, host: this.options.relayHost ?? host, listenHost: host, dataCentre: place.dataCentre, region: place.region,
 			},
 			listeners: this.getPorts(place),
 			platform: {url: this.platformUrl},
@@ -206,6 +220,19 @@
 		await Promise.all([...this.#children.keys()].map(async name => this.waitForEnd(name)));
 	}
 
+	#startRelay(): void {
+		const {delay: relayDelay, relayHost, places} = this.options;
+		if (relayHost === undefined) {
+			return;
+		}
+
+		const ports = places.flatMap(place => [this.getPorts(place).mesh, this.getPorts(place).peers]);
+		const options: DelayRelayOptions = {
+			listenHost: relayHost, targetHost: host, ports, delay: relayDelay ?? 0,
+		};
+		this.#spawn('relay', [process.execPath, 'dist/stand-ins.cjs', 'relay', JSON.stringify(options)]);
+	}
+
 	#spawn(name: string, [command, ...options]: readonly string[]): void {
 		const log = openSync(path.join(this.directory, `${name.replaceAll(' ', '-')}.log`), 'a');
 		const child = spawn(command!, options, {stdio: ['ignore', log, log], env: {...process.env, UV_USE_IO_URING: '0'}});
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -154,10 +154,11 @@
 	async start(): Promise<void> {
 		const {node, listeners} = this.#settings;
 		const {signal} = this.#controller;
-		await this.#peerServer.listen(node.host, listeners.peers);
-		await this.#mesh.listen(node.host, listeners.mesh);
-		await this.#callers.listen(node.host, listeners.callers);
-		await this.#operators.listen(node.host, listeners.operators);
+		const host = node.listenHost ?? node.host;
+		await this.#peerServer.listen(host, listeners.peers);
+		await this.#mesh.listen(host, listeners.mesh);
+		await this.#callers.listen(host, listeners.callers);
+		await this.#operators.listen(host, listeners.operators);
 		await this.#announcements.listen(loopback, listeners.announcements);
 		this.#runTask('readiness', this.#readiness.run(signal));
 		this.#runTask('heartbeats', this.#peers.run(signal));
--- a/packages/operators/src/settings.ts
+++ b/packages/operators/src/settings.ts
@@ -12,6 +12,7 @@
 	readonly node: {
 		readonly id: string;
 		readonly host: string;
+		readonly listenHost?: string;
 		readonly dataCentre: string;
 		readonly region: string;
 	};
--- a/packages/stand-ins/src/stand-ins.ts
+++ b/packages/stand-ins/src/stand-ins.ts
@@ -1,5 +1,6 @@
 /** Entry for stand-in processes: `stand-ins.js platform PORT` or `stand-ins.js upstream JSON`. */
 import process from 'node:process';
+import {DelayRelay, type DelayRelayOptions} from './delay-relay.js';
 import {servePlatform} from './platform-server.js';
 import {UpstreamStandIn, type UpstreamStandInOptions} from './upstream-stand-in.js';
 
@@ -11,8 +12,13 @@
 		return;
 	}
 
+	if (kind === 'relay') {
+		await new DelayRelay(JSON.parse(argument ?? '{}') as DelayRelayOptions).start();
+		return;
+	}
+
 	if (kind !== 'upstream') {
-		process.stderr.write('Usage: stand-ins platform PORT | stand-ins upstream JSON\n');
+		process.stderr.write('Usage: stand-ins platform PORT | stand-ins upstream JSON | stand-ins relay JSON\n');
 		process.exitCode = 2;
 		return;
 	}
--- a/packages/stand-ins/src/upstream-stand-in.ts
+++ b/packages/stand-ins/src/upstream-stand-in.ts
@@ -1,4 +1,5 @@
 /** An upstream that behaves well, or as badly as it is told to. */
+import {appendFileSync} from 'node:fs';
 import {Buffer} from 'node:buffer';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
@@ -27,12 +28,19 @@
 
 	/** Ends the process at a request with the header `x-crash`. */
 	readonly isCrashable?: boolean;
+
+	/** File to which each run is added as a line of JSON, so that a log outlives the process. */
+	readonly runLogFile?: string;
 };
 
 /** One run of a request, for the checkers of histories. */
 export type Run = {
 	readonly requestId: string;
+	readonly upstream: string;
 	readonly method: string;
+
+	/** Time of the start in milliseconds since the Unix epoch. */
+	readonly startedAt: number;
 	isCancelled: boolean;
 };
 
@@ -140,8 +148,10 @@
 			return;
 		}
 
-		const run: Run = {requestId: String(request.headers['x-request-id'] ?? ''), method: request.method ?? '', isCancelled: false};
-		this.runs.push(run);
+		const run: Run = {
+			requestId: String(request.headers['x-request-id'] ?? ''), upstream: this.#options.id, method: request.method ?? '', startedAt: Date.now(), isCancelled: false,
+		};
+		this.#log(run);
 		this.#inFlight++;
 		response.on('close', () => {
 			this.#inFlight--;
@@ -173,6 +183,13 @@
 		response.writeHead(200, {'content-type': 'application/json', 'content-length': Buffer.byteLength(answer)}).end(answer);
 	}
 
+	#log(run: Run): void {
+		this.runs.push(run);
+		if (this.#options.runLogFile !== undefined) {
+			appendFileSync(this.#options.runLogFile, `${JSON.stringify(run)}\n`);
+		}
+	}
+
 	#pickServiceTime(): number {
 		const isCold = Date.now() - this.#startedAt < (this.#options.coldStart ?? 0);
 		return this.#options.serviceTime * (isCold ? coldFactor : 1);
