Keep ancestors out of the push tree, with tests of spreading and membership

Cause: a test of the tree's cover at 5 to 167 members found members reached twice: the leader of a range stayed in one of its own branches, so that a push came back to it, without end where the fan-out was small. Ruled out: the split by key, which covers each key once. Change: pushes and counts name the members above the receiver, and no branch goes back to them. A fake network and virtual time drive handfuls of nodes through kills, cuts, pauses, replacement and crossed updates. Conclusion: each member gets each push once.

--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -242,7 +242,7 @@
 	]);
 	const failure = settled.find(result => result.status === 'rejected');
 	if (failure) {
-		throw failure.reason;
+		throw failure.reason as Error;
 	}
 
 	const results = settled.filter(result => result.status === 'fulfilled').map(result => result.value);
--- a/packages/node/src/node-metrics.ts
+++ b/packages/node/src/node-metrics.ts
@@ -21,6 +21,7 @@
 	const {applied, membership, transport, link, watcher, isReady} = parts;
 	collectDefaultMetrics({register: registry});
 	registerGauge(registry, 'ebonylead_version', 'Version of the rules in force.', () => applied.version);
+	registerGauge(registry, 'ebonylead_version_applied_timestamp_seconds', 'Time at which the version was put in force, since the Unix epoch.', () => applied.current.appliedAt / 1000);
 	registerGauge(registry, 'ebonylead_ready', '1 where the node serves calls.', () => Number(isReady()));
 	registerGauge(registry, 'ebonylead_members', 'Members that are alive or suspected.', () => membership.activeCount);
 	registerGauge(registry, 'ebonylead_store_up', '1 where the platform answered this node last time.', () => Number(watcher.health === 'up'));
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,4 +1,5 @@
 /** Wires the parts of a node; the only module that makes them. */
+import {setMaxListeners} from 'node:events';
 import {SystemClock, type Clock} from '@ebonylead/base/base.js';
 import {describeError} from '@ebonylead/base/errors.js';
 import {createLogger, createPartLogger, type Logger} from '@ebonylead/base/logs.js';
@@ -85,6 +86,7 @@
 		const clock = this.#clock;
 		const random = this.#random;
 		const applied = this.#applied;
+		setMaxListeners(0, this.#controller.signal);
 		this.#settings = settings;
 		this.#onReplaced = onReplaced;
 		this.#rootLog = createLogger(settings.logLevel, {node: node.id});
--- a/packages/peers/src/peer-node.ts
+++ b/packages/peers/src/peer-node.ts
@@ -184,7 +184,7 @@
 			return {reached: 1, unreached: [], unreachedCount: 0};
 		}
 
-		const below = await this.#spreader.spreadRange(request.range, {versionDelta: request.versionDelta, members: request.members});
+		const below = await this.#spreader.spreadRange(request.range, {versionDelta: request.versionDelta, members: request.members}, request.ancestors);
 		return {...below, reached: below.reached + 1};
 	}
 
@@ -253,7 +253,7 @@
 			return self;
 		}
 
-		return sumCensusReplies([self, await this.#spreader.takeCensus(request.range, request.expectedVersion)]);
+		return sumCensusReplies([self, await this.#spreader.takeCensus(request.range, request)]);
 	}
 
 	#countSelf(expectedVersion: number): CensusReply {
--- a/packages/peers/src/spreader.ts
+++ b/packages/peers/src/spreader.ts
@@ -19,6 +19,15 @@
 	readonly members: readonly Member[];
 };
 
+/** A count of versions that this node starts, or passes on. */
+export type CensusScope = {
+	/** Identities of the members above this node in the tree. */
+	readonly ancestors: readonly string[];
+
+	/** Members below this version are laggards. */
+	readonly expectedVersion: number;
+};
+
 /** What `Spreader` needs. */
 export type SpreaderParts = {
 	readonly deployment: string;
@@ -54,52 +63,53 @@
 		const {membership, dataCentre} = this.#parts;
 		const remote = membership.listDataCentres().filter(name => name !== dataCentre);
 		const replies = await Promise.all([
-			this.spreadRange(coverDataCentre(dataCentre), content),
-			...remote.map(async name => this.#spreadBranch(this.#buildRemoteBranch(name), content)),
+			this.spreadRange(coverDataCentre(dataCentre), content, []),
+			...remote.map(async name => this.#spreadBranch(this.#buildRemoteBranch(name), content, [])),
 		]);
 		return sumPushReplies(replies);
 	}
 
 	/** Spreads content over the other members of this node's data centre. */
 	async spreadLocally(content: SpreadContent): Promise<PushReply> {
-		return this.spreadRange(coverDataCentre(this.#parts.dataCentre), content);
+		return this.spreadRange(coverDataCentre(this.#parts.dataCentre), content, []);
 	}
 
-	/** Spreads content over the members of a range, without this node. */
-	async spreadRange(range: KeyRange, content: SpreadContent): Promise<PushReply> {
-		const branches = this.#splitRange(range);
-		return sumPushReplies(await Promise.all(branches.map(async branch => this.#spreadBranch(branch, content))));
+	/** Spreads content over the members of a range, without this node and those above it. */
+	async spreadRange(range: KeyRange, content: SpreadContent, ancestors: readonly string[]): Promise<PushReply> {
+		const branches = this.#splitRange(range, ancestors);
+		return sumPushReplies(await Promise.all(branches.map(async branch => this.#spreadBranch(branch, content, ancestors))));
 	}
 
 	/** Counts the versions in force over all data centres, without this node. */
 	async takeCensusEverywhere(expectedVersion: number): Promise<CensusReply> {
 		const {membership, dataCentre} = this.#parts;
 		const remote = membership.listDataCentres().filter(name => name !== dataCentre);
+		const scope = {ancestors: [], expectedVersion};
 		const replies = await Promise.all([
-			this.takeCensus(coverDataCentre(dataCentre), expectedVersion),
-			...remote.map(async name => this.#takeCensusOfBranch(this.#buildRemoteBranch(name), expectedVersion)),
+			this.takeCensus(coverDataCentre(dataCentre), scope),
+			...remote.map(async name => this.#takeCensusOfBranch(this.#buildRemoteBranch(name), scope)),
 		]);
 		return sumCensusReplies(replies);
 	}
 
-	/** Counts the versions in force over the members of a range, without this node. */
-	async takeCensus(range: KeyRange, expectedVersion: number): Promise<CensusReply> {
-		const branches = this.#splitRange(range);
-		return sumCensusReplies(await Promise.all(branches.map(async branch => this.#takeCensusOfBranch(branch, expectedVersion))));
+	/** Counts the versions in force over the members of a range, without this node and those above it. */
+	async takeCensus(range: KeyRange, scope: CensusScope): Promise<CensusReply> {
+		const branches = this.#splitRange(range, scope.ancestors);
+		return sumCensusReplies(await Promise.all(branches.map(async branch => this.#takeCensusOfBranch(branch, scope))));
 	}
 
-	#splitRange(range: KeyRange): Branch[] {
-		const members = listRange(this.#parts.membership, range, this.#parts.selfId);
+	#splitRange(range: KeyRange, ancestors: readonly string[]): Branch[] {
+		const members = listRange(this.#parts.membership, range, [this.#parts.selfId, ...ancestors]);
 		return splitRange(members, range, this.#parts.fanout);
 	}
 
 	#buildRemoteBranch(dataCentre: string): Branch {
 		const range = coverDataCentre(dataCentre);
-		return {range, candidates: rankLeaders(listRange(this.#parts.membership, range, this.#parts.selfId), range.low)};
+		return {range, candidates: rankLeaders(listRange(this.#parts.membership, range, [this.#parts.selfId]), range.low)};
 	}
 
-	async #spreadBranch(branch: Branch, content: SpreadContent): Promise<PushReply> {
-		const {deployment, selfAddress, transport} = this.#parts;
+	async #spreadBranch(branch: Branch, content: SpreadContent, ancestors: readonly string[]): Promise<PushReply> {
+		const {deployment, selfId, selfAddress, transport} = this.#parts;
 		const request = {
 			deployment,
 			senderHost: selfAddress.host,
@@ -107,6 +117,7 @@
 			range: branch.range,
 			versionDelta: Buffer.from(content.versionDelta),
 			members: content.members as Member[],
+			ancestors: [...ancestors, selfId],
 		};
 		const reply = await this.#askBranch('push', branch, async (_, address, timeout) => transport.push(address, request, timeout));
 		if (reply) {
@@ -117,9 +128,11 @@
 		return {reached: 0, unreached: names.slice(0, maxNamed), unreachedCount: names.length};
 	}
 
-	async #takeCensusOfBranch(branch: Branch, expectedVersion: number): Promise<CensusReply> {
-		const {deployment, transport} = this.#parts;
-		const request = {deployment, range: branch.range, expectedVersion};
+	async #takeCensusOfBranch(branch: Branch, scope: CensusScope): Promise<CensusReply> {
+		const {deployment, selfId, transport} = this.#parts;
+		const request = {
+			deployment, range: branch.range, expectedVersion: scope.expectedVersion, ancestors: [...scope.ancestors, selfId],
+		};
 		const reply = await this.#askBranch('census', branch, async (_, address, timeout) => transport.census(address, request, timeout));
 		return reply ?? {
 			counts: [], laggards: [], unreached: branch.candidates.map(known => known.member.id).slice(0, maxNamed), controlBytes: 0, quarantined: [],
--- /dev/null
+++ b/packages/peers/src/test/peer-node_test.ts
@@ -0,0 +1,179 @@
+import {parseRuleFile} from '@ebonylead/rules/rule-file.js';
+import {type EncodedSnapshot} from '@ebonylead/rules/rules.js';
+import {emptySnapshot, encodeSnapshot} from '@ebonylead/rules/snapshot-codec.js';
+import {computeDelta} from '@ebonylead/rules/snapshot-delta.js';
+import {describe, it} from '@ebonylead/stand-ins/describe.js';
+import {FakeFleet, type FakeNode} from '@ebonylead/stand-ins/fake-fleet.js';
+import {MemberState} from '../generated/peers.js';
+import {getAddress} from '../peers.js';
+
+const twoDataCentres = ['a', 'a', 'a', 'a', 'b', 'b', 'b', 'b'];
+
+function makeSnapshot(version: number): EncodedSnapshot {
+	return encodeSnapshot({version, rules: parseRuleFile('f', `GET a.example/${version} -> s # A`).unsafeCoerce().rules});
+}
+
+const snapshots = [emptySnapshot, makeSnapshot(1), makeSnapshot(2), makeSnapshot(3)];
+
+async function startFleet(seed: number, dataCentres = twoDataCentres): Promise<FakeFleet> {
+	const fleet = new FakeFleet(seed);
+	await fleet.start(dataCentres);
+	await fleet.clock.advance(3000);
+	return fleet;
+}
+
+async function accept(node: FakeNode, version: number) {
+	node.applied.apply(snapshots[version]!);
+	return node.peers.spreadVersion(computeDelta(snapshots[version - 1]!.snapshot, snapshots[version]!));
+}
+
+function listVersions(fleet: FakeFleet): number[] {
+	return fleet.running.map(node => node.applied.version);
+}
+
+function listStates(fleet: FakeFleet, id: string): Array<MemberState | undefined> {
+	return fleet.running.map(node => node.peers.membership.findMember(id)?.state);
+}
+
+describe('peer node', () => {
+	it('learns of all members and ends with one membership', async t => {
+		const fleet = await startFleet(1);
+		t.deepEqual(fleet.running.map(node => node.peers.membership.activeCount), Array.from({length: 8}, () => 8));
+		t.is(new Set(fleet.running.map(node => node.peers.membership.hash)).size, 1);
+		fleet.stop();
+	});
+
+	describe('spreading', () => {
+		it('puts a version in force on every node, and the answer counts them', async t => {
+			const fleet = await startFleet(2);
+			const before = fleet.network.counts.push;
+			const reply = await accept(fleet.nodes[3]!, 1);
+			t.is(reply.reached, 7);
+			t.is(fleet.network.counts.push - before, 7);
+			t.deepEqual(new Set(listVersions(fleet)), new Set([1]));
+			const census = await fleet.nodes[0]!.peers.takeCensus();
+			t.deepEqual(census.counts.map(count => count.count), [4, 4]);
+			fleet.stop();
+		});
+
+		it('goes round a leader that was just killed', async t => {
+			const fleet = await startFleet(3);
+			fleet.kill(fleet.nodes[5]!);
+			const reply = await accept(fleet.nodes[0]!, 1);
+			t.is(reply.reached, 6);
+			t.deepEqual(reply.unreached, ['n5']);
+			t.deepEqual(new Set(listVersions(fleet)), new Set([1]));
+			fleet.stop();
+		});
+
+		it('drops updates that cross or come twice', async t => {
+			const fleet = await startFleet(4);
+			const node = fleet.nodes[0]!;
+			await accept(node, 1);
+			await accept(node, 2);
+			await node.peers.spreadVersion(computeDelta(snapshots[0]!.snapshot, snapshots[1]!));
+			t.deepEqual(new Set(listVersions(fleet)), new Set([2]));
+			t.deepEqual(fleet.faults, []);
+			fleet.stop();
+		});
+
+		it('brings a node that missed versions up to date by heartbeats', async t => {
+			const fleet = await startFleet(5);
+			const cut = fleet.nodes[2]!;
+			fleet.network.rule = (from, to) => from === cut.address || to === cut.address ? 'silence' : 'pass';
+			const first = accept(fleet.nodes[0]!, 1);
+			await fleet.clock.advance(6000);
+			await first;
+			const second = accept(fleet.nodes[0]!, 2);
+			await fleet.clock.advance(6000);
+			await second;
+			t.is(cut.applied.version, 0);
+			fleet.network.rule = () => 'pass';
+			await fleet.clock.advance(15_000);
+			t.is(cut.applied.version, 2);
+			t.deepEqual(fleet.faults, []);
+			fleet.stop();
+		});
+	});
+
+	describe('failure detection', () => {
+		it('finds a killed node, and tells all others', async t => {
+			const fleet = await startFleet(6);
+			fleet.kill(fleet.nodes[1]!);
+			await fleet.clock.advance(10_000);
+			t.deepEqual(new Set(listStates(fleet, 'n1')), new Set([MemberState.DEAD]));
+			fleet.stop();
+		});
+
+		it('does not hold a member for dead because of one broken link', async t => {
+			const fleet = await startFleet(7);
+			const [left, right] = [fleet.nodes[0]!.address, fleet.nodes[1]!.address];
+			fleet.network.rule = (from, to) => (from === left && to === right) || (from === right && to === left) ? 'silence' : 'pass';
+			await fleet.clock.advance(30_000);
+			t.deepEqual(new Set(listStates(fleet, 'n1')), new Set([MemberState.ALIVE]));
+			fleet.stop();
+		});
+
+		it('takes a node back that was paused for longer than every timeout', async t => {
+			const fleet = await startFleet(8);
+			const paused = fleet.nodes[1]!;
+			fleet.network.rule = (from, to) => from === paused.address || to === paused.address ? 'silence' : 'pass';
+			await fleet.clock.advance(60_000);
+			const others = fleet.running.filter(node => node !== paused);
+			t.deepEqual(new Set(others.map(node => node.peers.membership.findMember('n1')?.state)), new Set([MemberState.DEAD]));
+			fleet.network.rule = () => 'pass';
+			await fleet.clock.advance(60_000);
+			t.deepEqual(new Set(listStates(fleet, 'n1')), new Set([MemberState.ALIVE]));
+			fleet.stop();
+		});
+
+		it('heals a data centre that was cut off for long, with the version accepted meanwhile', async t => {
+			const fleet = await startFleet(9);
+			const far = new Set(fleet.nodes.slice(4).map(node => node.address));
+			fleet.network.rule = (from, to) => far.has(from) === far.has(to) ? 'pass' : 'silence';
+			const pushed = accept(fleet.nodes[0]!, 1);
+			await fleet.clock.advance(120_000);
+			await pushed;
+			t.deepEqual(listVersions(fleet), [1, 1, 1, 1, 0, 0, 0, 0]);
+			fleet.network.rule = () => 'pass';
+			await fleet.clock.advance(120_000);
+			t.deepEqual(new Set(listVersions(fleet)), new Set([1]));
+			t.deepEqual(fleet.running.map(node => node.peers.membership.activeCount), Array.from({length: 8}, () => 8));
+			t.deepEqual(fleet.faults, []);
+			fleet.stop();
+		});
+	});
+
+	describe('leaving and coming back', () => {
+		it('tells all members before it leaves', async t => {
+			const fleet = await startFleet(10);
+			const leaving = fleet.nodes[2]!.peers.leave();
+			await fleet.clock.advance(500);
+			await leaving;
+			t.deepEqual(new Set(listStates(fleet, 'n2')), new Set([MemberState.LEFT]));
+			fleet.stop();
+		});
+
+		it('replaces a process by a newer one of the same identity', async t => {
+			const fleet = await startFleet(11);
+			const older = fleet.nodes[1]!;
+			const newer = await fleet.add('n1', 'a');
+			await fleet.clock.advance(5000);
+			t.true(older.isReplaced);
+			t.false(newer.isReplaced);
+			fleet.stop();
+		});
+
+		it('remembers what an identity applied before it was replaced', async t => {
+			const fleet = await startFleet(12);
+			await accept(fleet.nodes[0]!, 1);
+			await fleet.clock.advance(3000);
+			fleet.kill(fleet.nodes[1]!);
+			const again = await fleet.add('n1', 'a');
+			const learned = await again.peers.learnVersion(fleet.running.filter(node => node !== again).map(node => getAddress(node.peers.self)));
+			t.is(learned.version, 1);
+			t.is(again.applied.version, 1);
+			fleet.stop();
+		});
+	});
+});
--- a/packages/peers/src/tree.ts
+++ b/packages/peers/src/tree.ts
@@ -14,10 +14,10 @@
 	return {dataCentre, low: 0, high: keySpace};
 }
 
-/** Returns the active members of a range, without one identity. */
-export function listRange(membership: Membership, range: KeyRange, exceptId: string): KnownMember[] {
+/** Returns the active members of a range, without some identities. */
+export function listRange(membership: Membership, range: KeyRange, exceptIds: readonly string[]): KnownMember[] {
 	return membership.listActive(range.dataCentre)
-		.filter(known => known.key >= range.low && known.key < range.high && known.member.id !== exceptId);
+		.filter(known => known.key >= range.low && known.key < range.high && !exceptIds.includes(known.member.id));
 }
 
 /**
--- a/packages/stand-ins/src/delay-relay.ts
+++ b/packages/stand-ins/src/delay-relay.ts
@@ -38,9 +38,9 @@
 			const server = createServer({noDelay: true}, socket => {
 				const pair = new RelayedPair(socket, connect({host: targetHost, port, noDelay: true}), delay);
 				this.#pairs.add(pair);
-				pair.onEnd = () => {
+				pair.setEndHandler(() => {
 					this.#pairs.delete(pair);
-				};
+				});
 			});
 			this.#servers.push(server);
 			await new Promise<void>(resolve => {
@@ -71,10 +71,10 @@
 /** The two halves of a relayed connection. */
 class RelayedPair {
 	isForgotten = false;
-	onEnd: () => void = () => undefined;
 	readonly #near: Socket;
 	readonly #far: Socket;
 	readonly #delay: number;
+	#handleEnd: (() => void) | undefined;
 
 	constructor(near: Socket, far: Socket, delay: number) {
 		this.#near = near;
@@ -84,10 +84,14 @@
 		this.#passOn(far, near);
 	}
 
+	setEndHandler(handle: () => void): void {
+		this.#handleEnd = handle;
+	}
+
 	destroy(): void {
 		this.#near.destroy();
 		this.#far.destroy();
-		this.onEnd();
+		this.#handleEnd?.();
 	}
 
 	#passOn(from: Socket, to: Socket): void {
@@ -109,7 +113,7 @@
 		from.on('close', () => {
 			this.#later(() => {
 				to.destroy();
-				this.onEnd();
+				this.#handleEnd?.();
 			});
 		});
 	}
--- a/packages/stand-ins/src/fake-clock.ts
+++ b/packages/stand-ins/src/fake-clock.ts
@@ -29,10 +29,13 @@
 		}
 
 		await new Promise<void>(resolve => {
-			this.#sleepers.push({wakeAt: this.#now + duration, wake: resolve});
-			signal?.addEventListener('abort', () => {
+			const wake = () => {
+				signal?.removeEventListener('abort', wake);
 				resolve();
-			});
+			};
+
+			this.#sleepers.push({wakeAt: this.#now + duration, wake});
+			signal?.addEventListener('abort', wake);
 		});
 	}
 
--- /dev/null
+++ b/packages/stand-ins/src/fake-fleet.ts
@@ -0,0 +1,134 @@
+/** A handful of nodes' peer parts over a fake network and virtual time. */
+import {setMaxListeners} from 'node:events';
+import {createLogger, createPartLogger} from '@ebonylead/base/logs.js';
+import {SeededRandom} from '@ebonylead/base/random.js';
+import {MemberState, UpstreamState, type Member} from '@ebonylead/peers/generated/peers.js';
+import {defaultHeartbeatTimes} from '@ebonylead/peers/heartbeats.js';
+import {PeerNode} from '@ebonylead/peers/peer-node.js';
+import {formatAddress, getAddress} from '@ebonylead/peers/peers.js';
+import {AppliedVersion} from '@ebonylead/rules/applied-version.js';
+import {FakeClock} from './fake-clock.js';
+import {FakeNetwork} from './fake-network.js';
+
+/** One node of a fake fleet. */
+export type FakeNode = {
+	readonly peers: PeerNode;
+	readonly applied: AppliedVersion;
+	readonly address: string;
+	readonly controller: AbortController;
+	isReplaced: boolean;
+};
+
+const firstPort = 1000;
+
+/** Makes nodes, and checks on every step that no version goes back. */
+export class FakeFleet {
+	readonly clock = new FakeClock();
+	readonly network = new FakeNetwork(this.clock);
+	readonly nodes: FakeNode[] = [];
+	readonly #seed: number;
+	readonly #highest = new Map<string, number>();
+	#nextPort = firstPort;
+
+	constructor(seed: number) {
+		this.#seed = seed;
+	}
+
+	/** Starts nodes that join through the first one. */
+	async start(dataCentres: readonly string[]): Promise<void> {
+		for (const [index, dataCentre] of dataCentres.entries()) {
+			await this.add(`n${index}`, dataCentre);
+		}
+	}
+
+	/** Starts a node; an earlier node of the same identity may still run. */
+	async add(id: string, dataCentre: string): Promise<FakeNode> {
+		const port = this.#nextPort++;
+		const applied = new AppliedVersion();
+		const member = this.#createMember(id, dataCentre, port);
+		const address = getAddress(member);
+		const node: FakeNode = {
+			applied,
+			address: formatAddress(address),
+			controller: new AbortController(),
+			isReplaced: false,
+			peers: new PeerNode({
+				deployment: 'd',
+				member,
+				fanout: 3,
+				times: defaultHeartbeatTimes,
+				applied,
+				transport: this.network.createTransport(address),
+				clock: this.clock,
+				random: new SeededRandom(this.#seed + port),
+				log: createPartLogger(createLogger('silent'), 'peers'),
+				countControlBytes: () => 0,
+				isReady: () => true,
+				onReplaced() {
+					node.isReplaced = true;
+				},
+			}),
+		};
+		setMaxListeners(0, node.controller.signal);
+		this.#watchVersion(id, applied);
+		this.network.attach(address, node.peers);
+		const first = this.nodes.find(other => !other.controller.signal.aborted);
+		this.nodes.push(node);
+		if (first) {
+			await node.peers.join([getAddress(first.peers.self)]);
+		}
+
+		void node.peers.run(node.controller.signal);
+		return node;
+	}
+
+	/** Ends a node as a kill does: nothing is said to the others. */
+	kill(node: FakeNode): void {
+		node.controller.abort();
+		this.network.detach(getAddress(node.peers.self));
+	}
+
+	/** The nodes that run. */
+	get running(): FakeNode[] {
+		return this.nodes.filter(node => !node.controller.signal.aborted);
+	}
+
+	/** Ends all nodes. */
+	stop(): void {
+		for (const node of this.nodes) {
+			node.controller.abort();
+		}
+	}
+
+	/** Versions that went back at any time. */
+	readonly faults: string[] = [];
+
+	#watchVersion(id: string, applied: AppliedVersion): void {
+		void applied.observeChanges().skip(1).observe(({encoded}) => {
+			const {version} = encoded.snapshot;
+			const highest = this.#highest.get(id) ?? 0;
+			if (version < highest) {
+				this.faults.push(`${id} applied version ${version} after version ${highest}`);
+			}
+
+			this.#highest.set(id, Math.max(highest, version));
+		});
+	}
+
+	#createMember(id: string, dataCentre: string, port: number): Member {
+		return {
+			id,
+			incarnation: this.clock.wallTime(),
+			dataCentre,
+			region: 'r',
+			host: '10.0.0.1',
+			peerPort: port,
+			meshPort: port,
+			state: MemberState.ALIVE,
+			service: 's',
+			upstreamState: UpstreamState.READY,
+			slots: 9,
+			instance: port,
+		};
+	}
+}
