--- a/packages/bench/src/bench-capacity.ts
+++ b/packages/bench/src/bench-capacity.ts
@@ -16,7 +16,10 @@
 const basePort = 28_000;
 const fakePort = basePort + 500;
 const readyTimeout = 30_000;
-const idleTime = 10_000;
+const idleTime = 15_000;
+
+/** The engine still compiles in the first seconds after a start. */
+const settleTime = 10_000;
 const pushes = 200;
 const largePushes = 20;
 const warmUpPushes = 50;
@@ -99,7 +102,7 @@
 }
 
 async function measureMembers(fleet: Fleet, fake: FakeMembers): Promise<MemberResult> {
-	await delay(2000);
+	await delay(settleTime);
 	const idleStart = await readUsage(fleet);
 	await delay(idleTime);
 	const idleEnd = await readUsage(fleet);
@@ -202,7 +205,7 @@
 	async #send(versionDelta: Uint8Array, members: Member[], range: KeyRange | undefined): Promise<void> {
 		const address = {host: '127.0.0.1', peerPort: this.#fleet.getPorts(place).peers};
 		await this.#transport.push(address, {
-			deployment: 'capacity', senderHost: this.#fake.firstAddress.host, senderPort: fakePort, range, versionDelta: Buffer.from(versionDelta), members, ancestors: [],
+			deployment: 'capacity', senderHost: this.#fake.firstAddress.host, senderPort: fakePort, range, versionDelta: Buffer.from(versionDelta), members, ancestors: [], suspects: [],
 		}, pushTimeout);
 	}
 }
--- a/packages/callers/src/call.ts
+++ b/packages/callers/src/call.ts
@@ -9,7 +9,7 @@
 import {
 	copyRequestHeaders, forwardRequest, ProgressTimeoutError, type AnswerHeaders, type ForwardResult,
 } from '@ebonylead/upstreams/forward.js';
-import {hasBody, readCount, readHeader} from '@ebonylead/upstreams/mesh-listener.js';
+import {hasBody, readCount, readHeader} from '@ebonylead/upstreams/request-headers.js';
 import {sendRefusal} from '@ebonylead/upstreams/refusals.js';
 import {meshHeaders, outcomes, type Refusal} from '@ebonylead/upstreams/upstreams.js';
 import {callResults, type CallResult} from './call-metrics.js';
@@ -22,6 +22,9 @@
 /** Most tries of one call. */
 const maxTries = 3;
 
+/** Upstreams that may die of one call before it is tried no more. */
+const maxCrashes = 2;
+
 /** Share of the deadline in which the other node must show a sign of life; it sends them more often. */
 const progressShare = 0.5;
 const minProgressTimeout = 50;
@@ -52,6 +55,9 @@
 	#service = '';
 	#result: CallResult = callResults.notRun;
 	#mayHaveRun = false;
+
+	/** Upstreams that died while this call was in flight there. */
+	#crashes = 0;
 	#lastRefusal: Refusal = {status: statusUnavailable, outcome: outcomes.notRun, reason: 'no try was made'};
 
 	constructor(parts: CallerParts, request: IncomingMessage, response: ServerResponse) {
@@ -193,6 +199,11 @@
 			case 'rejected': {
 				this.#lastRefusal = readRefusal(result.status, result.headers);
 				this.#mayHaveRun ||= this.#lastRefusal.outcome === outcomes.unknown;
+				this.#crashes = Math.max(this.#crashes, Number(result.headers[meshHeaders.suspect] ?? 0));
+				if (this.#crashes >= maxCrashes) {
+					return this.#lastRefusal;
+				}
+
 				return this.#lastRefusal.outcome === outcomes.notRun || route.rule.idempotent ? 'retry' : this.#lastRefusal;
 			}
 
@@ -233,6 +244,10 @@
 			headers[meshHeaders.attempt] = String(attempt);
 		}
 
+		if (this.#crashes > 0) {
+			headers[meshHeaders.suspect] = String(this.#crashes);
+		}
+
 		if (route.rule.slots !== undefined) {
 			headers[meshHeaders.route] = route.key;
 			headers[meshHeaders.routeSlots] = String(route.rule.slots);
--- a/packages/callers/src/test/call_test.ts
+++ b/packages/callers/src/test/call_test.ts
@@ -375,6 +375,72 @@
 		});
 	});
 
+	describe('crashing requests', () => {
+		/** Adds upstreams that die of one body, as a process does: all its connections end and no new one is taken. */
+		async function addMortalPlaces(harness: MeshHarness, count: number): Promise<() => number> {
+			const state = {deaths: 0};
+			for (let index = 0; index < count; index++) {
+				const place = await harness.addPlace((incoming, response) => {
+					void readText(incoming).then(body => {
+						if (body === 'poison') {
+							state.deaths++;
+							place.upstream.close();
+							place.upstream.closeAllConnections();
+						} else {
+							response.end('good');
+						}
+					});
+				});
+			}
+
+			return () => state.deaths;
+		}
+
+		it('end after two upstreams, whoever sends them again and through whichever node', async t => {
+			await withHarness(async harness => {
+				const countDeaths = await addMortalPlaces(harness, 6);
+				const answers: Answer[] = [];
+				for (let round = 0; round < 100; round++) {
+					answers.push(await call(harness, 'POST', '/x', {body: 'poison'}));
+				}
+
+				t.is(countDeaths(), 2);
+				const last = answers.at(-1)!;
+				t.is(last.outcome, 'not-run');
+				t.regex(last.body, /quarantined/v);
+				await expectAnswer(t, call(harness, 'POST', '/x', {body: 'healthy'}), {body: 'good'});
+			});
+		});
+
+		it('end after two upstreams where they are idempotent, before the other nodes have heard', async t => {
+			await withHarness(async harness => {
+				harness.isSpreading = false;
+				const state = {deaths: 0};
+				for (let index = 0; index < 4; index++) {
+					const place = await harness.addPlace(() => {
+						state.deaths++;
+						place.upstream.close();
+						place.upstream.closeAllConnections();
+					});
+				}
+
+				const answer = await call(harness, 'GET', '/x');
+				t.is(state.deaths, 2);
+				t.is(answer.outcome, 'unknown');
+			});
+		});
+
+		it('are told from a connection that an upstream closes and lives', async t => {
+			await withHarness(async harness => {
+				const place = await harness.addPlace(incoming => {
+					incoming.socket.destroy();
+				});
+				await call(harness, 'POST', '/x', {body: 'b'});
+				t.true(place.quarantine.isEmpty);
+			});
+		});
+	});
+
 	describe('bad requests', () => {
 		it('with two lengths are refused', async t => {
 			await withHarness(async harness => {
--- a/packages/node/src/node-metrics.ts
+++ b/packages/node/src/node-metrics.ts
@@ -6,6 +6,9 @@
 import {collectDefaultMetrics, Gauge, type Registry} from 'prom-client';
 import {type HeadWatcher} from './head-watcher.js';
 
+/** Time between two looks at the delay of the event loop in milliseconds; 10 costs a node half a percent of a core. */
+const eventLoopMonitoringPrecision = 100;
+
 /** What the metrics read. */
 export type NodeMetricsParts = {
 	readonly applied: AppliedVersion;
@@ -19,7 +22,7 @@
 /** Registers gauges that read the state of a node when they are collected. */
 export function registerNodeMetrics(registry: Registry, parts: NodeMetricsParts): void {
 	const {applied, membership, transport, link, watcher, isReady} = parts;
-	collectDefaultMetrics({register: registry});
+	collectDefaultMetrics({register: registry, eventLoopMonitoringPrecision});
 	registerGauge(registry, 'ebonylead_version', 'Version of the rules in force.', () => applied.version);
 	registerGauge(registry, 'ebonylead_version_applied_timestamp_seconds', 'Time at which the version was put in force, since the Unix epoch.', () => applied.current.appliedAt / 1000);
 	registerGauge(registry, 'ebonylead_ready', '1 where the node serves calls.', () => Number(isReady()));
--- a/packages/node/src/node-operations.ts
+++ b/packages/node/src/node-operations.ts
@@ -58,6 +58,7 @@
 			laggards: census.laggards,
 			unreached: census.unreached,
 			controlBytes: census.controlBytes,
+			quarantined: census.quarantined,
 		};
 	}
 
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -17,7 +17,7 @@
 } from '@ebonylead/peers/generated/peers.js';
 import {GrpcServer} from '@ebonylead/peers/grpc-server.js';
 import {GrpcTransport} from '@ebonylead/peers/grpc-transport.js';
-import {defaultHeartbeatTimes} from '@ebonylead/peers/heartbeats.js';
+import {defaultHeartbeatTimes, frugalHeartbeatTimes} from '@ebonylead/peers/heartbeats.js';
 import {PeerNode} from '@ebonylead/peers/peer-node.js';
 import {Acceptor} from '@ebonylead/platform/acceptance.js';
 import {HttpPlatform} from '@ebonylead/platform/http-platform.js';
@@ -25,7 +25,9 @@
 import {VersionStore} from '@ebonylead/platform/versions.js';
 import {AppliedVersion} from '@ebonylead/rules/applied-version.js';
 import {AnnouncementListener} from '@ebonylead/upstreams/announcement-listener.js';
+import {CrashDetector} from '@ebonylead/upstreams/crash-detector.js';
 import {MeshListener} from '@ebonylead/upstreams/mesh-listener.js';
+import {Quarantine} from '@ebonylead/upstreams/quarantine.js';
 import {UpstreamLink, type UpstreamStatus} from '@ebonylead/upstreams/upstream-link.js';
 import {Registry} from 'prom-client';
 import {HeadWatcher} from './head-watcher.js';
@@ -36,8 +38,11 @@
 import {SeedKeeper} from './seed-keeper.js';
 import {SubmissionRunner} from './submission-runner.js';
 
-/** Children of a node in the push tree, by the setting `spreading`. */
-const fanouts = {convergence: 6, bytes: 3} as const;
+/** Children of a node in the push tree. */
+const fanout = 6;
+
+/** Times of the heartbeats, by the setting `spreading`. */
+const heartbeatTimes = {convergence: defaultHeartbeatTimes, bytes: frugalHeartbeatTimes} as const;
 
 /** Time in milliseconds that other nodes get to hear that this one leaves. */
 const leaveNoticeTime = 2000;
@@ -63,6 +68,7 @@
 	readonly #log: Logger;
 	readonly #controller = new AbortController();
 	readonly #applied = new AppliedVersion();
+	readonly #quarantine = new Quarantine(this.#clock);
 	readonly #transport = new GrpcTransport();
 	readonly #pools = new MeshPools();
 	readonly #platform: HttpPlatform;
@@ -99,7 +105,12 @@
 		this.#peerServer = new GrpcServer(deployment, this.#peers, this.#transport.counts);
 		this.#link = new UpstreamLink(clock, this.#createLog('upstream'));
 		this.#announcements = new AnnouncementListener(this.#link);
-		this.#mesh = new MeshListener({link: this.#link, clock, log: this.#createLog('mesh')});
+		const crashes = new CrashDetector(this.#link, this.#quarantine, this.#createLog('mesh'), suspects => {
+			void this.#peers.spreadSuspects(suspects);
+		});
+		this.#mesh = new MeshListener({
+			link: this.#link, quarantine: this.#quarantine, crashes, clock, log: this.#createLog('mesh'),
+		});
 		this.#watcher = new HeadWatcher({
 			selfId: node.id,
 			dataCentre: node.dataCentre,
@@ -217,14 +228,18 @@
 		return new PeerNode({
 			deployment,
 			member: this.#createMember(),
-			fanout: fanouts[spreading],
-			times: defaultHeartbeatTimes,
+			fanout,
+			times: heartbeatTimes[spreading],
 			applied: this.#applied,
 			transport: this.#transport,
 			clock: this.#clock,
 			random: this.#random,
 			log: this.#createLog('peers'),
 			countControlBytes: () => this.#transport.counts.bytes,
+			listQuarantined: () => this.#quarantine.quarantined,
+			onSuspects: suspects => {
+				this.#quarantine.merge(suspects);
+			},
 			isReady: () => this.#readiness.isReady,
 			onReplaced: () => {
 				this.#log.error('A newer process took over this identity; this one stops');
--- a/packages/node/src/pause-detector.ts
+++ b/packages/node/src/pause-detector.ts
@@ -1,7 +1,7 @@
 /** Notices that this process did not run for a while. */
 import {type Clock} from '@ebonylead/base/base.js';
 
-const checkPeriod = 100;
+const checkPeriod = 500;
 
 /** A gap from which the process counts as paused, in milliseconds. */
 export const pauseLimit = 2000;
--- a/packages/operators/src/operators.ts
+++ b/packages/operators/src/operators.ts
@@ -44,6 +44,9 @@
 	readonly laggards: ReadonlyArray<{readonly id: string; readonly version: number}>;
 	readonly unreached: readonly string[];
 	readonly controlBytes: number;
+
+	/** Fingerprints of the requests that run no more. */
+	readonly quarantined: readonly string[];
 };
 
 /** Why a rule does or does not match a request. */
--- a/packages/operators/src/texts.ts
+++ b/packages/operators/src/texts.ts
@@ -52,6 +52,7 @@
 		...formatNames('Draining', status.draining),
 		...formatNames('Lagging', status.laggards.map(laggard => `${laggard.id} (${laggard.version})`)),
 		...formatNames('Not reached', status.unreached),
+		...formatNames('Quarantined requests', status.quarantined),
 	].join('\n');
 }
 
--- a/packages/peers/src/heartbeats.ts
+++ b/packages/peers/src/heartbeats.ts
@@ -33,6 +33,14 @@
 	randomPeriod: 5000,
 };
 
+/** The times for deployments that weigh control bytes more than the time in which a missed push is made good. */
+export const frugalHeartbeatTimes: HeartbeatTimes = {
+	period: 3000,
+	timeout: 800,
+	suspicion: 9000,
+	randomPeriod: 15_000,
+};
+
 /** What `Heartbeats` needs. */
 export type HeartbeatParts = {
 	readonly deployment: string;
--- a/packages/peers/src/outbox.ts
+++ b/packages/peers/src/outbox.ts
@@ -45,7 +45,7 @@
 		this.#waiting.clear();
 		this.#flushing = undefined;
 		try {
-			const reply = await this.#spreader.spreadEverywhere({versionDelta: noDelta, members});
+			const reply = await this.#spreader.spreadEverywhere({versionDelta: noDelta, members, suspects: []});
 			this.#log.debug(`Told ${reply.reached} members of ${members.length} changes, ${reply.unreachedCount} not reached`);
 		} catch (error) {
 			this.#log.warn(`Changes of membership were not spread: ${describeError(error)}`);
--- a/packages/peers/src/peer-node.ts
+++ b/packages/peers/src/peer-node.ts
@@ -7,7 +7,7 @@
 import {CatchUp} from './catch-up.js';
 import {
 	MemberState, type BeatReply, type BeatRequest, type CensusReply, type CensusRequest, type FetchReply, type FetchRequest, type Member,
-	type ProbeReply, type ProbeRequest, type PushReply, type PushRequest, type SyncReply, type SyncRequest,
+	type ProbeReply, type ProbeRequest, type PushReply, type PushRequest, type Suspect, type SyncReply, type SyncRequest,
 } from './generated/peers.js';
 import {Heartbeats, type HeartbeatTimes} from './heartbeats.js';
 import {Membership} from './membership.js';
@@ -36,6 +36,12 @@
 	/** Returns the bytes that this node carried for control, for the census. */
 	readonly countControlBytes: () => number;
 
+	/** Returns the fingerprints of the requests that run no more, for the census. */
+	readonly listQuarantined: () => string[];
+
+	/** Called with the suspects that other nodes found. */
+	readonly onSuspects: (suspects: readonly Suspect[]) => void;
+
 	/** Says whether this node serves calls. */
 	readonly isReady: () => boolean;
 
@@ -163,14 +169,19 @@
 		await this.#outbox.flush();
 	}
 
+	/** Tells all members of requests that were in flight when an upstream died. */
+	async spreadSuspects(suspects: readonly Suspect[]): Promise<PushReply> {
+		return this.#spreader.spreadEverywhere({versionDelta: new Uint8Array(0), members: [], suspects});
+	}
+
 	/** Spreads an accepted version to all data centres. */
 	async spreadVersion(delta: SnapshotDelta): Promise<PushReply> {
-		return this.#spreader.spreadEverywhere({versionDelta: encodeDelta(delta), members: []});
+		return this.#spreader.spreadEverywhere({versionDelta: encodeDelta(delta), members: [], suspects: []});
 	}
 
 	/** Spreads an accepted version to this node's data centre. */
 	async spreadVersionLocally(delta: SnapshotDelta): Promise<PushReply> {
-		return this.#spreader.spreadLocally({versionDelta: encodeDelta(delta), members: []});
+		return this.#spreader.spreadLocally({versionDelta: encodeDelta(delta), members: [], suspects: []});
 	}
 
 	/** Counts the versions in force over all members, this node included. */
@@ -185,11 +196,15 @@
 		}
 
 		this.#noteMembers(this.membership.merge(request.members, this.#parts.clock.now()));
+		if (request.suspects.length > 0) {
+			this.#parts.onSuspects(request.suspects);
+		}
+
 		if (request.range === undefined) {
 			return {reached: 1, unreached: [], unreachedCount: 0};
 		}
 
-		const below = await this.#spreader.spreadRange(request.range, {versionDelta: request.versionDelta, members: request.members}, request.ancestors);
+		const below = await this.#spreader.spreadRange(request.range, {versionDelta: request.versionDelta, members: request.members, suspects: request.suspects}, request.ancestors);
 		return {...below, reached: below.reached + 1};
 	}
 
@@ -262,14 +277,14 @@
 	}
 
 	#countSelf(expectedVersion: number): CensusReply {
-		const {applied, countControlBytes} = this.#parts;
+		const {applied, countControlBytes, listQuarantined} = this.#parts;
 		const {id, dataCentre} = this.#self.member;
 		return {
 			counts: [{dataCentre, version: applied.version, count: 1}],
 			laggards: applied.version < expectedVersion ? [{id, version: applied.version}] : [],
 			unreached: [],
 			controlBytes: countControlBytes(),
-			quarantined: [],
+			quarantined: listQuarantined(),
 		};
 	}
 
--- a/packages/peers/src/spreader.ts
+++ b/packages/peers/src/spreader.ts
@@ -4,7 +4,7 @@
 import {describeError} from '@ebonylead/base/errors.js';
 import {type Logger} from '@ebonylead/base/logs.js';
 import {
-	type CensusReply, type KeyRange, type Member, type PushReply,
+	type CensusReply, type KeyRange, type Member, type PushReply, type Suspect,
 } from './generated/peers.js';
 import {type Membership} from './membership.js';
 import {getAddress, type PeerAddress, type PeerTransport} from './peers.js';
@@ -17,6 +17,7 @@
 	/** An encoded `VersionDelta`; empty for none. */
 	readonly versionDelta: Uint8Array;
 	readonly members: readonly Member[];
+	readonly suspects: readonly Suspect[];
 };
 
 /** A count of versions that this node starts, or passes on. */
@@ -118,6 +119,7 @@
 			versionDelta: Buffer.from(content.versionDelta),
 			members: content.members as Member[],
 			ancestors: [...ancestors, selfId],
+			suspects: content.suspects as Suspect[],
 		};
 		const reply = await this.#askBranch('push', branch, async (_, address, timeout) => transport.push(address, request, timeout));
 		if (reply) {
--- a/packages/peers/src/test/peer-node_test.ts
+++ b/packages/peers/src/test/peer-node_test.ts
@@ -96,6 +96,13 @@
 		});
 	});
 
+	it('tells every member of suspects', async t => {
+		const fleet = await startFleet(20);
+		await fleet.nodes[0]!.peers.spreadSuspects([{fingerprint: 'x', crashes: 1}]);
+		t.deepEqual(fleet.nodes.slice(1).map(node => node.suspects), Array.from({length: 7}, () => ['x']));
+		fleet.stop();
+	});
+
 	describe('failure detection', () => {
 		it('finds a killed node, and tells all others', async t => {
 			const fleet = await startFleet(6);
--- a/packages/rules/src/route-table.ts
+++ b/packages/rules/src/route-table.ts
@@ -1,5 +1,5 @@
 /** Finds the rule for a request. */
-import {buildRuleKey, type Rule, type Snapshot} from './rules.js';
+import {getRuleKey, type Rule, type Snapshot} from './rules.js';
 
 /** What a rule is matched against. */
 export type RequestLine = {
@@ -41,7 +41,7 @@
 
 	constructor(snapshot: Snapshot) {
 		this.snapshot = snapshot;
-		this.routes = snapshot.rules.map(rule => buildRoute(rule)).toSorted(compareRoutes);
+		this.routes = snapshot.rules.map(rule => getRoute(rule)).toSorted(compareRoutes);
 		this.#routesOfHost = groupByHost(this.routes);
 	}
 
@@ -85,12 +85,25 @@
 	return isLengthRight && pattern.every((part, index) => part === '*' || part === segments[index]);
 }
 
+/** Routes of rules that were in force before; a change leaves most rules as they are. */
+const knownRoutes = new WeakMap<Rule, Route>();
+
+function getRoute(rule: Rule): Route {
+	let route = knownRoutes.get(rule);
+	if (route === undefined) {
+		route = buildRoute(rule);
+		knownRoutes.set(rule, route);
+	}
+
+	return route;
+}
+
 function buildRoute(rule: Rule): Route {
 	const segments = rule.path.split('/').slice(1);
 	const isPrefix = segments.at(-1) === '**';
 	return {
 		rule,
-		key: buildRuleKey(rule),
+		key: getRuleKey(rule),
 		segments: isPrefix ? segments.slice(0, -1) : segments,
 		isPrefix,
 	};
--- a/packages/rules/src/rule-file.ts
+++ b/packages/rules/src/rule-file.ts
@@ -2,7 +2,7 @@
 import {Left, Right, type Either} from 'purify-ts';
 import {parse, SyntaxError as LineSyntaxError} from './generated/rule-line.js';
 import {
-	buildRuleKey, defaultDeadline, formatRule, maxDeadline, safeMethods, type HeaderMatch, type Rule, type Snapshot,
+	getRuleKey, defaultDeadline, formatRule, maxDeadline, safeMethods, type HeaderMatch, type Rule, type Snapshot,
 } from './rules.js';
 
 /** A fault in a rule file. */
@@ -141,7 +141,7 @@
 
 	#addRule(number: number, parsed: ParsedLine): void {
 		const rule = this.#buildRule(number, parsed);
-		const key = buildRuleKey(rule);
+		const key = getRuleKey(rule);
 		const earlier = this.#lineOfKey.get(key);
 		if (earlier !== undefined) {
 			this.#addFault(number, 1, `"${key}"`, `line ${earlier} matches the same requests; keep one of the two lines`);
--- a/packages/rules/src/rules.ts
+++ b/packages/rules/src/rules.ts
@@ -80,8 +80,21 @@
 /** Longest deadline in milliseconds that a rule may name. */
 export const maxDeadline = 120_000;
 
+/** Keys of rules that were asked for before; a large snapshot asks for each several times a change. */
+const knownKeys = new WeakMap<object, string>();
+
 /** Returns the text that tells two rules apart: what they match. */
-export function buildRuleKey(rule: Pick<Rule, 'methods' | 'host' | 'path' | 'headers'>): string {
+export function getRuleKey(rule: Rule): string {
+	let key = knownKeys.get(rule);
+	if (key === undefined) {
+		key = buildRuleKey(rule);
+		knownKeys.set(rule, key);
+	}
+
+	return key;
+}
+
+function buildRuleKey(rule: Rule): string {
 	const methods = rule.methods.length === 0 ? 'ANY' : rule.methods.join(',');
 	const headers = rule.headers.map(header => ` header ${header.name}="${header.value}"`).join('');
 	return `${methods} ${rule.host}${rule.path}${headers}`;
@@ -95,12 +108,12 @@
 	const kind = rule.idempotent ? 'idempotent' : 'once';
 	const slots = rule.slots === undefined ? '' : ` slots ${rule.slots}`;
 	const reason = rule.reason === '' ? '' : `: ${rule.reason}`;
-	return `${buildRuleKey(rule)} -> ${split} ${kind} deadline ${rule.deadline}ms${slots} prefer ${rule.prefer} # ${rule.askedBy}${reason}`;
+	return `${getRuleKey(rule)} -> ${split} ${kind} deadline ${rule.deadline}ms${slots} prefer ${rule.prefer} # ${rule.askedBy}${reason}`;
 }
 
 /** Says whether two rules do the same, whatever version they came in. */
 export function isSameRule(left: Rule, right: Rule): boolean {
-	return formatRule(left) === formatRule(right);
+	return left === right || formatRule(left) === formatRule(right);
 }
 
 /** Returns the names of all services that a snapshot's rules send calls to. */
--- a/packages/rules/src/snapshot-codec.ts
+++ b/packages/rules/src/snapshot-codec.ts
@@ -3,7 +3,7 @@
 import {computeDigest} from '@ebonylead/base/hash.js';
 import {Left, Right, type Either} from 'purify-ts';
 import {
-	buildRuleKey, type EncodedSnapshot, type Rule, type ServiceShare, type Snapshot,
+	getRuleKey, type EncodedSnapshot, type Rule, type ServiceShare, type Snapshot,
 } from './rules.js';
 
 const formatNumber = 1;
@@ -67,8 +67,21 @@
 		&& typeof rule.prefer === 'string';
 }
 
+/** Rules whose fields are in order; all but a few of a new snapshot come from the one before. */
+const orderedRules = new WeakSet<Rule>();
+
 /** Puts the fields in a fixed order, as JSON keeps the order of insertion. */
 function orderFields(rule: Rule): Rule {
+	if (orderedRules.has(rule)) {
+		return rule;
+	}
+
+	const ordered = buildOrdered(rule);
+	orderedRules.add(ordered);
+	return ordered;
+}
+
+function buildOrdered(rule: Rule): Rule {
 	return {
 		methods: rule.methods,
 		host: rule.host,
@@ -86,7 +99,7 @@
 }
 
 function compareRules(left: Rule, right: Rule): number {
-	const leftKey = buildRuleKey(left);
-	const rightKey = buildRuleKey(right);
+	const leftKey = getRuleKey(left);
+	const rightKey = getRuleKey(right);
 	return leftKey < rightKey ? -1 : Number(leftKey > rightKey);
 }
--- a/packages/rules/src/snapshot-delta.ts
+++ b/packages/rules/src/snapshot-delta.ts
@@ -1,7 +1,7 @@
 /** Differences between two snapshots, by rule. */
 import {Left, Right, type Either} from 'purify-ts';
 import {
-	buildRuleKey, isSameRule, type EncodedSnapshot, type Rule, type Snapshot,
+	getRuleKey, isSameRule, type EncodedSnapshot, type Rule, type Snapshot,
 } from './rules.js';
 import {encodeSnapshot} from './snapshot-codec.js';
 
@@ -22,7 +22,7 @@
 
 /** Returns the rules of a snapshot by their key. */
 export function mapRules(rules: readonly Rule[]): Map<string, Rule> {
-	return new Map(rules.map(rule => [buildRuleKey(rule), rule]));
+	return new Map(rules.map(rule => [getRuleKey(rule), rule]));
 }
 
 /** Computes what leads from one snapshot to another. */
@@ -35,7 +35,7 @@
 		toDigest: to.digest,
 		removed: [...before.keys()].filter(key => !after.has(key)),
 		changed: to.snapshot.rules.filter(rule => {
-			const earlier = before.get(buildRuleKey(rule));
+			const earlier = before.get(getRuleKey(rule));
 			return earlier?.since !== rule.since || !isSameRule(earlier, rule);
 		}),
 	};
@@ -57,7 +57,7 @@
 	}
 
 	for (const rule of delta.changed) {
-		rules.set(buildRuleKey(rule), rule);
+		rules.set(getRuleKey(rule), rule);
 	}
 
 	const result = encodeSnapshot({version: delta.toVersion, rules: [...rules.values()]});
--- a/packages/stand-ins/src/fake-fleet.ts
+++ b/packages/stand-ins/src/fake-fleet.ts
@@ -17,6 +17,9 @@
 	readonly address: string;
 	readonly controller: AbortController;
 	isReplaced: boolean;
+
+	/** Fingerprints that this node heard of. */
+	readonly suspects: string[];
 };
 
 const firstPort = 1000;
@@ -55,6 +58,7 @@
 			address: formatAddress(address),
 			controller: new AbortController(),
 			isReplaced: false,
+			suspects: [],
 			peers: new PeerNode({
 				deployment: 'd',
 				member,
@@ -66,6 +70,10 @@
 				random: new SeededRandom(this.#seed + port),
 				log: createPartLogger(createLogger('silent'), 'peers'),
 				countControlBytes: () => 0,
+				listQuarantined: () => [],
+				onSuspects(suspects) {
+					node.suspects.push(...suspects.map(suspect => suspect.fingerprint));
+				},
 				isReady: () => true,
 				onReplaced() {
 					node.isReplaced = true;
--- a/packages/stand-ins/src/mesh-harness.ts
+++ b/packages/stand-ins/src/mesh-harness.ts
@@ -17,7 +17,9 @@
 import {AppliedVersion} from '@ebonylead/rules/applied-version.js';
 import {parseRuleFile} from '@ebonylead/rules/rule-file.js';
 import {encodeSnapshot} from '@ebonylead/rules/snapshot-codec.js';
+import {CrashDetector} from '@ebonylead/upstreams/crash-detector.js';
 import {MeshListener} from '@ebonylead/upstreams/mesh-listener.js';
+import {Quarantine, type Suspect} from '@ebonylead/upstreams/quarantine.js';
 import {UpstreamLink} from '@ebonylead/upstreams/upstream-link.js';
 import {Registry} from 'prom-client';
 
@@ -29,6 +31,7 @@
 	readonly id: string;
 	readonly link: UpstreamLink;
 	readonly mesh: MeshListener;
+	readonly quarantine: Quarantine;
 	readonly upstream: Server;
 
 	/** Count of requests that reached the upstream. */
@@ -43,6 +46,9 @@
 export class MeshHarness {
 	/** Whether the entry knows which rules are in force. */
 	isReady = true;
+
+	/** Whether places hear of each other's suspects. */
+	isSpreading = true;
 	readonly applied = new AppliedVersion();
 	readonly membership = new Membership();
 	readonly places: HarnessPlace[] = [];
@@ -94,9 +100,15 @@
 			upstream.listen(0, host, resolve);
 		});
 		const link = new UpstreamLink(this.#clock, log);
-		const mesh = new MeshListener({link, clock: this.#clock, log});
+		const quarantine = new Quarantine(this.#clock);
+		const crashes = new CrashDetector(link, quarantine, log, suspects => {
+			this.#spreadSuspects(suspects);
+		});
+		const mesh = new MeshListener({
+			link, quarantine, crashes, clock: this.#clock, log,
+		});
 		const place: HarnessPlace = {
-			id: `p${this.places.length}`, link, mesh, upstream, runs: 0,
+			id: `p${this.places.length}`, link, mesh, quarantine, upstream, runs: 0,
 		};
 		await mesh.listen(host, 0);
 		const url = `http://${host}:${(upstream.address() as AddressInfo).port}`;
@@ -122,6 +134,14 @@
 		}));
 	}
 
+	#spreadSuspects(suspects: readonly Suspect[]): void {
+		if (this.isSpreading) {
+			for (const place of this.places) {
+				place.quarantine.merge(suspects);
+			}
+		}
+	}
+
 	#createMember(place: HarnessPlace, slots: number, meshPort: number): Member {
 		return {
 			id: place.id,
--- a/packages/upstreams/src/admission.ts
+++ b/packages/upstreams/src/admission.ts
@@ -17,6 +17,9 @@
 	/** Most calls of the route at once, or undefined. */
 	readonly routeSlots: number | undefined;
 
+	/** Whether no other call may run beside it: it may have killed an upstream. */
+	readonly isAlone?: boolean;
+
 	/** Ends the wait when the caller leaves. */
 	readonly cancellation: Cancellation;
 };
@@ -33,6 +36,9 @@
 
 const statusUnavailable = 503;
 
+/** Load that an upstream reports while it is leaving. */
+const closedLoad = 1000;
+
 /** Calls that may wait for each slot. */
 const queuePerSlot = 4;
 
@@ -69,6 +75,8 @@
 	#mean = firstMean;
 	#endedCount = 0;
 	#isClosed = false;
+	#isAloneRunning = false;
+	#aloneWaiting = 0;
 	#isSweeping = false;
 
 	constructor(clock: Clock, slots: number) {
@@ -76,8 +84,12 @@
 		this.#slots = slots;
 	}
 
-	/** Calls that run or wait, for each slot. */
+	/** Calls that run or wait, for each slot; very high where no call is taken, so that entries choose others at once. */
 	get load(): number {
+		if (this.#isClosed) {
+			return closedLoad;
+		}
+
 		return this.#slots === 0 ? 1 : (this.#running + this.#waiting) / this.#slots;
 	}
 
@@ -128,6 +140,14 @@
 	}
 
 	#hasSlot(request: AdmissionRequest): boolean {
+		if (this.#isAloneRunning || (request.isAlone && this.#running > 0)) {
+			return false;
+		}
+
+		if (!request.isAlone && this.#aloneWaiting > 0) {
+			return false;
+		}
+
 		const routeCount = this.#routeCounts.get(request.route) ?? 0;
 		return this.#running < this.#slots && routeCount < (request.routeSlots ?? this.#slots);
 	}
@@ -136,6 +156,7 @@
 		const startedAt = this.#clock.now();
 		let isReleased = false;
 		this.#running++;
+		this.#isAloneRunning = request.isAlone ?? false;
 		this.#routeCounts.set(request.route, (this.#routeCounts.get(request.route) ?? 0) + 1);
 		const release = () => {
 			if (isReleased) {
@@ -151,6 +172,7 @@
 
 	#release(request: AdmissionRequest, duration: number): void {
 		this.#running--;
+		this.#isAloneRunning = false;
 		this.#endedCount++;
 		this.#mean += (duration - this.#mean) * Math.max(minMeanWeight, 1 / this.#endedCount);
 		const left = (this.#routeCounts.get(request.route) ?? 1) - 1;
@@ -178,6 +200,7 @@
 			}
 
 			this.#waiting++;
+			this.#aloneWaiting += request.isAlone ? 1 : 0;
 			void this.#sweepWhileWaiting();
 			request.cancellation.addListener(() => {
 				this.#refuse(waiting, 'the caller left or the deadline passed while the call waited');
@@ -222,6 +245,8 @@
 	#refuse(waiting: Waiting, reason: string): void {
 		if (this.#remove(waiting)) {
 			waiting.resolve(this.#buildRefusal(reason));
+			// A call that waited to run alone may have held the others back.
+			this.#startWaiting();
 		}
 	}
 
@@ -234,6 +259,7 @@
 
 		line.splice(index, 1);
 		this.#waiting--;
+		this.#aloneWaiting -= waiting.request.isAlone ? 1 : 0;
 		if (line.length === 0) {
 			this.#lines.delete(waiting.request.caller);
 		}
--- /dev/null
+++ b/packages/upstreams/src/fingerprint.ts
@@ -0,0 +1,17 @@
+/** Tells requests apart by what they ask, not by who asks when. */
+import {type Buffer} from 'node:buffer';
+import {hashText} from '@ebonylead/base/hash.js';
+
+const secondSeed = 0x5A_5A;
+const radix = 36;
+
+/**
+ * Returns the fingerprint of a request.
+ *
+ * @param body The body where it was kept; larger bodies count by their length.
+ */
+export function computeFingerprint(method: string, url: string, body: Buffer | number): string {
+	const bodyText = typeof body === 'number' ? `length ${body}` : body.toString('latin1');
+	const text = `${method} ${url}\n${bodyText}`;
+	return `${hashText(text).toString(radix)}-${hashText(text, secondSeed).toString(radix)}`;
+}
--- /dev/null
+++ b/packages/upstreams/src/mesh-call.ts
@@ -0,0 +1,240 @@
+/** One call at the node beside the upstream, from its arrival to its end. */
+import {type Buffer} from 'node:buffer';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {buffer} from 'node:stream/consumers';
+import {describeError} from '@ebonylead/base/errors.js';
+import {Cancellation} from './cancellation.js';
+import {type InFlightCall} from './crash-detector.js';
+import {computeFingerprint} from './fingerprint.js';
+import {copyRequestHeaders, forwardRequest, type ForwardResult} from './forward.js';
+import {type MeshListenerParts} from './mesh-listener.js';
+import {quarantineTime, type Verdict} from './quarantine.js';
+import {sendRefusal} from './refusals.js';
+import {hasBody, readCount, readHeader} from './request-headers.js';
+import {meshHeaders, outcomes, type Refusal} from './upstreams.js';
+
+/** Deadline in milliseconds of a call that carries none. */
+const defaultDeadline = 2000;
+
+/** Bodies up to this size in bytes are kept, so that a fingerprint covers them. */
+const maxKeptBody = 64 * 1024;
+
+/** Share of the deadline after which the other node hears that the call is still alive. */
+const signOfLifeShare = 0.2;
+const minSignOfLifePeriod = 20;
+const goneRetryAfter = 1000;
+const firstAttempt = '1';
+const statusBadGateway = 502;
+const statusUnavailable = 503;
+const statusTimeout = 504;
+
+/** Admits one call, forwards it, and says truthfully how it ended. */
+export class MeshCall {
+	readonly #parts: MeshListenerParts;
+	readonly #request: IncomingMessage;
+	readonly #response: ServerResponse;
+	readonly #cancellation = new Cancellation();
+	readonly #deadline: number;
+	#body: Buffer | IncomingMessage | undefined;
+	#crashes = 0;
+
+	constructor(parts: MeshListenerParts, request: IncomingMessage, response: ServerResponse) {
+		this.#parts = parts;
+		this.#request = request;
+		this.#response = response;
+		this.#deadline = readCount(request, meshHeaders.deadline) ?? defaultDeadline;
+	}
+
+	/** Runs the call to its end. */
+	async run(): Promise<void> {
+		const timer = setTimeout(() => {
+			this.#cancellation.cancel(new Error('the deadline passed'));
+		}, this.#deadline);
+		// An interim answer tells a slow upstream from a connection that went silent.
+		const signs = setInterval(() => {
+			if (!this.#response.headersSent) {
+				this.#response.writeProcessing();
+			}
+		}, Math.max(minSignOfLifePeriod, this.#deadline * signOfLifeShare));
+		this.#response.on('close', () => {
+			if (!this.#response.writableFinished) {
+				this.#cancellation.cancel(new Error('the caller closed its connection'));
+			}
+		});
+		try {
+			await this.#admit();
+		} finally {
+			clearTimeout(timer);
+			clearInterval(signs);
+		}
+	}
+
+	async #admit(): Promise<void> {
+		const {link, clock} = this.#parts;
+		const deadline = clock.now() + this.#deadline;
+		await this.#readBody();
+		const verdict = this.#judge();
+		if (verdict === 'quarantined') {
+			this.#crashes = this.#parts.quarantine.countCrashes(this.#computeFingerprint());
+			this.#refuse({
+				status: statusUnavailable, outcome: outcomes.notRun, reason: 'quarantined: upstreams died while this request was in flight', retryAfter: quarantineTime,
+			});
+			return;
+		}
+
+		const admission = await link.admission.enter({
+			caller: readHeader(this.#request, meshHeaders.caller) ?? '',
+			deadline,
+			route: readHeader(this.#request, meshHeaders.route) ?? '',
+			routeSlots: readCount(this.#request, meshHeaders.routeSlots),
+			isAlone: verdict === 'suspect',
+			cancellation: this.#cancellation,
+		});
+		if (admission.kind === 'refused') {
+			this.#refuse(admission.refusal);
+			return;
+		}
+
+		try {
+			await this.#run(verdict);
+		} finally {
+			admission.release();
+		}
+	}
+
+	/** Judges the call by what this node, the fleet and an earlier try of the entry know. */
+	#judge(): Verdict {
+		const {quarantine} = this.#parts;
+		const crashes = readCount(this.#request, meshHeaders.suspect);
+		if (crashes !== undefined) {
+			quarantine.merge([{fingerprint: this.#computeFingerprint(), crashes}]);
+		}
+
+		return quarantine.isEmpty ? 'clear' : quarantine.judge(this.#computeFingerprint());
+	}
+
+	async #run(verdict: Verdict): Promise<void> {
+		const {crashes, quarantine} = this.#parts;
+		const call: InFlightCall = {computeFingerprint: () => this.#computeFingerprint()};
+		crashes.add(call);
+		try {
+			const result = await this.#forward();
+			if (result.kind === 'answered' && verdict === 'suspect') {
+				quarantine.recordSuccess(this.#computeFingerprint());
+			}
+
+			await this.#handleResult(result);
+		} finally {
+			crashes.remove(call);
+		}
+	}
+
+	async #forward(): Promise<ForwardResult> {
+		const {link} = this.#parts;
+		if (link.pool === undefined) {
+			return {kind: 'unsent', error: new Error('no upstream was announced')};
+		}
+
+		const headers = copyRequestHeaders(this.#request.headers);
+		headers[meshHeaders.deadline] = String(Math.floor(this.#deadline));
+		headers[meshHeaders.attempt] = readHeader(this.#request, meshHeaders.attempt) ?? firstAttempt;
+		return forwardRequest({
+			dispatcher: link.pool,
+			origin: link.origin,
+			method: this.#request.method ?? 'GET',
+			path: this.#request.url ?? '/',
+			headers,
+			body: this.#body,
+			response: this.#response,
+			cancellation: this.#cancellation,
+			progressTimeout: this.#deadline,
+			isWanted: () => true,
+			buildExtraHeaders: () => ({[meshHeaders.load]: link.admission.load.toFixed(2)}),
+			isMeshHeaderDropped: true,
+		});
+	}
+
+	async #handleResult(result: ForwardResult): Promise<void> {
+		const {link, log} = this.#parts;
+		switch (result.kind) {
+			case 'answered':
+			case 'rejected': {
+				return;
+			}
+
+			case 'unsent': {
+				if ((result.error as NodeJS.ErrnoException).code === 'ECONNREFUSED') {
+					link.reportRefusedConnection();
+				}
+
+				this.#refuse({
+					status: statusUnavailable, outcome: outcomes.notRun, reason: `the upstream can not be reached: ${describeError(result.error)}`, retryAfter: goneRetryAfter,
+				});
+				return;
+			}
+
+			case 'unanswered': {
+				await this.#handleNoAnswer(result.error);
+				return;
+			}
+
+			case 'cut': {
+				log.warn(`Cut an answer of upstream ${link.origin}: ${describeError(result.error)}`);
+				await this.#countCrash();
+			}
+		}
+	}
+
+	async #handleNoAnswer(error: Error): Promise<void> {
+		if (this.#cancellation.isCancelled) {
+			this.#refuse({status: statusTimeout, outcome: outcomes.unknown, reason: `the upstream did not answer: ${describeError(error)}`});
+			return;
+		}
+
+		await this.#countCrash();
+		this.#refuse({status: statusBadGateway, outcome: outcomes.unknown, reason: `the upstream did not answer: ${describeError(error)}`});
+	}
+
+	async #countCrash(): Promise<void> {
+		const {crashes, quarantine} = this.#parts;
+		if (await crashes.handleLostConnection()) {
+			this.#crashes = quarantine.countCrashes(this.#computeFingerprint());
+		}
+	}
+
+	async #readBody(): Promise<void> {
+		if (!hasBody(this.#request)) {
+			return;
+		}
+
+		const length = Number(this.#request.headers['content-length'] ?? Number.POSITIVE_INFINITY);
+		if (length > maxKeptBody) {
+			this.#body = this.#request;
+			return;
+		}
+
+		try {
+			this.#body = await buffer(this.#request);
+		} catch (error) {
+			this.#cancellation.cancel(error as Error);
+		}
+	}
+
+	#computeFingerprint(): string {
+		const length = Number(this.#request.headers['content-length'] ?? 0);
+		const body = this.#body === undefined || this.#body === this.#request ? length : this.#body as Buffer;
+		return computeFingerprint(this.#request.method ?? 'GET', this.#request.url ?? '/', body);
+	}
+
+	#refuse(refusal: Refusal): void {
+		if (!this.#response.headersSent && !this.#response.destroyed) {
+			this.#response.setHeader(meshHeaders.load, this.#parts.link.admission.load.toFixed(2));
+			if (this.#crashes > 0) {
+				this.#response.setHeader(meshHeaders.suspect, String(this.#crashes));
+			}
+		}
+
+		sendRefusal(this.#response, refusal);
+		this.#request.resume();
+	}
+}
--- a/packages/upstreams/src/test/admission_test.ts
+++ b/packages/upstreams/src/test/admission_test.ts
@@ -109,6 +109,34 @@
 		t.is(second.result?.kind, 'admitted');
 	});
 
+	it('runs a suspect alone: after what runs, and before what came later', async t => {
+		const control = new AdmissionControl(new FakeClock(), 4);
+		const running = await control.enter(ask());
+		const suspect = follow(control, ask({isAlone: true, caller: 's'}));
+		const later = follow(control, ask({caller: 'l'}));
+		await settle();
+		t.is(suspect.result, undefined);
+		t.is(later.result, undefined);
+		release(running);
+		await settle();
+		t.is(suspect.result?.kind, 'admitted');
+		t.is(later.result, undefined);
+		release(suspect.result!);
+		await settle();
+		t.is(later.result?.kind, 'admitted');
+	});
+
+	it('lets others run when a waiting suspect gives up', async t => {
+		const control = new AdmissionControl(new FakeClock(), 4);
+		await control.enter(ask());
+		const cancellation = new Cancellation();
+		follow(control, ask({isAlone: true, caller: 's', cancellation}));
+		const later = follow(control, ask({caller: 'l'}));
+		cancellation.cancel(new Error('the caller left'));
+		await settle();
+		t.is(later.result?.kind, 'admitted');
+	});
+
 	it('forgets a waiting call whose caller left', async t => {
 		const control = new AdmissionControl(new FakeClock(), 1);
 		const running = await control.enter(ask());
--- a/packages/upstreams/src/upstreams.ts
+++ b/packages/upstreams/src/upstreams.ts
@@ -35,6 +35,9 @@
 	/** Calls in flight and waiting at the upstream, for each of its slots. */
 	load: 'x-ebonylead-load',
 
+	/** Upstreams that died while the call was in flight. */
+	suspect: 'x-ebonylead-suspect',
+
 	/** Version of the rules that the call ran under. */
 	version: 'x-ebonylead-version',
 } as const;
