Fuzz handfuls of nodes, and never enforce a version that nobody else has

Ruled out: lost heartbeats; the version had never left the node. Change: a node that accepted or read a version spreads it first and enforces it once another has it; until then it hands it to those who ask. Chains of deltas are applied in one swap. Failures of peers are answers, not ends of tasks. Acceptance is fuzzed too, with answers lost and effects that come late. Conclusion: what is left without a proof is the loss of every node that has a version while the platform is down.

--- a/packages/bench/src/bench.ts
+++ b/packages/bench/src/bench.ts
@@ -2,12 +2,14 @@
 import process from 'node:process';
 import {measureCapacity} from './bench-capacity.js';
 import {measureDistribution} from './bench-distribution.js';
+import {measureOverload} from './bench-overload.js';
 import {measureRequests} from './bench-requests.js';
 import {FigureReport} from './figures.js';
 
 const benchmarks: Readonly<Record<string, (report: FigureReport) => Promise<void>>> = {
 	distribution: measureDistribution,
 	requests: measureRequests,
+	overload: measureOverload,
 	capacity: measureCapacity,
 };
 
--- a/packages/callers/src/test/call_test.ts
+++ b/packages/callers/src/test/call_test.ts
@@ -205,7 +205,7 @@
 					setTimeout(() => {
 						response.end('slow');
 					}, 250);
-				}, 1);
+				}, {slots: 1});
 				await call(harness, 'GET', '/x');
 				const answers = await Promise.all(Array.from({length: 12}, async () => call(harness, 'GET', '/quick/x')));
 				const refused = answers.filter(answer => answer.outcome === 'not-run');
@@ -322,7 +322,7 @@
 					if (incoming.url !== '/hang') {
 						response.end('free');
 					}
-				}, 1);
+				}, {slots: 1});
 				await t.throwsAsync(request(`${harness.url}/hang`, {headers: {host: 'a.example'}, signal: AbortSignal.timeout(100)}), {any: true});
 				await settle(() => place.link.admission.running === 0);
 				await expectAnswer(t, call(harness, 'GET', '/x'), {body: 'free'});
@@ -352,7 +352,8 @@
 				});
 				await relay.start();
 				harness.membership.merge([{...harness.membership.findMember(place.id)!, host: '127.0.0.10', incarnation: 2}], 0);
-				await call(harness, 'POST', '/quick', {body: 'b'});
+				await call(harness, 'POST', '/x', {body: 'b'});
+				t.is(relay.connectionCount, 1);
 				relay.forgetOpenConnections();
 				const answer = await call(harness, 'POST', '/quick', {body: 'b'});
 				t.is(answer.outcome, 'unknown');
--- /dev/null
+++ b/packages/callers/src/test/chain_test.ts
@@ -0,0 +1,69 @@
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {describe, it} from '@ebonylead/stand-ins/describe.js';
+import {MeshHarness} from '@ebonylead/stand-ins/mesh-harness.js';
+import {request} from 'undici';
+
+const depth = 11;
+const placesPerLevel = 3;
+const calls = 150;
+
+/** Share of retries that the budget of each service allows, and its reserve. */
+const retryRatio = 0.1;
+const retryReserve = 10;
+
+/** Serves one level of the chain: calls the next one through the entry, and answers as that does. */
+async function passOn(harness: MeshHarness, level: number, incoming: IncomingMessage, response: ServerResponse): Promise<void> {
+	try {
+		const answer = await request(`${harness.url}/${level + 1}`, {
+			headers: {
+				host: 'a.example',
+				'x-ebonylead-deadline': String(incoming.headers['x-ebonylead-deadline']),
+				'x-ebonylead-attempt': String(incoming.headers['x-ebonylead-attempt']),
+			},
+		});
+		await answer.body.dump();
+		response.writeHead(answer.statusCode).end('x');
+	} catch {
+		response.destroy();
+	}
+}
+
+async function buildChain(): Promise<MeshHarness> {
+	const harness = new MeshHarness();
+	await harness.start(Array.from({length: depth}, (_, index) => `GET a.example/${index + 1} -> s${index + 1} deadline 20s # A`));
+	for (let level = 1; level <= depth; level++) {
+		for (let index = 0; index < placesPerLevel; index++) {
+			const isFailing = level === depth && index === 0;
+			await harness.addPlace((incoming, response) => {
+				if (isFailing) {
+					incoming.socket.destroy();
+				} else if (level === depth) {
+					response.end('leaf');
+				} else {
+					void passOn(harness, level, incoming, response);
+				}
+			}, {service: `s${level}`});
+		}
+	}
+
+	return harness;
+}
+
+describe('chain of 11 services', () => {
+	it('multiplies calls at its leaf by no more than the budgets add up to, while a third of the leaves fail', async t => {
+		const harness = await buildChain();
+		let answered = 0;
+		for (let round = 0; round < calls; round++) {
+			const answer = await request(`${harness.url}/1`, {headers: {host: 'a.example'}});
+			await answer.body.dump();
+			answered += Number(answer.statusCode === 200);
+		}
+
+		const leafRuns = harness.places.slice(-placesPerLevel).reduce((sum, place) => sum + place.runs, 0);
+		const bound = (calls * (1 + (depth * retryRatio))) + (depth * retryReserve);
+		t.log(`${leafRuns} runs at the leaf for ${calls} calls, ${answered} answered`);
+		t.true(leafRuns <= bound, `${leafRuns} runs at the leaf, at most ${bound}`);
+		t.true(answered >= calls * 0.95, `${answered} of ${calls} answered`);
+		await harness.stop();
+	});
+});
--- a/packages/node/src/head-watcher.ts
+++ b/packages/node/src/head-watcher.ts
@@ -6,6 +6,7 @@
 import {rankLeaders} from '@ebonylead/peers/tree.js';
 import {type VersionStore} from '@ebonylead/platform/versions.js';
 import {type AppliedVersion} from '@ebonylead/rules/applied-version.js';
+import {type EncodedSnapshot} from '@ebonylead/rules/rules.js';
 import {computeDelta, type SnapshotDelta} from '@ebonylead/rules/snapshot-delta.js';
 
 /** What `HeadWatcher` needs. */
@@ -19,8 +20,8 @@
 	readonly random: Random;
 	readonly log: Logger;
 
-	/** Called with what leads from the version before to the one that was read. */
-	readonly onVersion: (delta: SnapshotDelta) => Promise<void>;
+	/** Called with a version that was read, before it is put in force here. */
+	readonly onVersion: (encoded: EncodedSnapshot, delta: SnapshotDelta) => Promise<void>;
 };
 
 /** Whether the platform answered last time. */
@@ -80,9 +81,10 @@
 			if (head.version > applied.version) {
 				const before = applied.current.encoded.snapshot;
 				const encoded = await versions.readSnapshot(head.digest);
+				// Others hear of it first, so that they can tell this node's successor while the platform is down.
+				await onVersion(encoded, computeDelta(before, encoded));
 				if (applied.apply(encoded)) {
 					log.info(`Applied version ${head.version} from the platform`);
-					await onVersion(computeDelta(before, encoded));
 				}
 			}
 
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -120,8 +120,8 @@
 			clock,
 			random,
 			log: this.#createLog('platform'),
-			onVersion: async delta => {
-				await this.#peers.spreadVersionLocally(delta);
+			onVersion: async (encoded, delta) => {
+				await this.#peers.spreadVersionLocally(encoded, delta);
 			},
 		});
 		this.#readiness = new Readiness({
--- a/packages/node/src/submission-runner.ts
+++ b/packages/node/src/submission-runner.ts
@@ -67,10 +67,13 @@
 			kind: 'accepted', version: record.version, changed: record.changed, merged: record.merged,
 		});
 		if (snapshot && base) {
-			applied.apply(base);
-			applied.apply(snapshot);
-			const reply = await peers.spreadVersion(computeDelta(base.snapshot, snapshot));
+			const reply = await peers.spreadVersion(snapshot, computeDelta(base.snapshot, snapshot));
 			log.debug(`Version ${record.version} reached ${reply.reached} nodes in ${Math.round(clock.now() - startedAt)} ms`);
+			// Others must have a version before this node enforces it: should its process end now and the
+			// platform fail, peers are the only ones to tell its successor. A watcher brings it otherwise.
+			if (reply.reached > 0 || peers.membership.activeCount === 1) {
+				applied.apply(snapshot);
+			}
 		} else {
 			await watcher.poll();
 		}
--- a/packages/peers/src/catch-up.ts
+++ b/packages/peers/src/catch-up.ts
@@ -23,6 +23,9 @@
 /** Longest time of one transfer in milliseconds. */
 const transferTimeout = 5000;
 
+/** A version that nobody keeps deltas from, so that the answer is the full snapshot. */
+const unknownVersion = 0;
+
 /** Fetches versions and members that this node does not have. */
 export class CatchUp {
 	readonly #parts: CatchUpParts;
@@ -63,13 +66,11 @@
 	async #fetchNow(address: PeerAddress): Promise<void> {
 		const {deployment, applied, transport, log} = this.#parts;
 		const reply = await transport.fetch(address, {deployment, haveVersion: applied.version}, transferTimeout);
-		for (const delta of reply.deltas) {
-			if (!applied.applyDelta(readDeltaMessage(delta))) {
-				log.warn(`A delta from ${formatAddress(address)} was refused; the snapshot is fetched in its place`);
-				const full = await transport.fetch(address, {deployment, haveVersion: 0}, transferTimeout);
-				this.#applySnapshot(full.snapshot, address);
-				return;
-			}
+		if (!applied.applyDeltas(reply.deltas.map(delta => readDeltaMessage(delta)))) {
+			log.warn(`Deltas from ${formatAddress(address)} were refused; the snapshot is fetched in their place`);
+			const full = await transport.fetch(address, {deployment, haveVersion: unknownVersion}, transferTimeout);
+			this.#applySnapshot(full.snapshot, address);
+			return;
 		}
 
 		this.#applySnapshot(reply.snapshot, address);
--- /dev/null
+++ b/packages/peers/src/peer-confirmation.ts
@@ -0,0 +1,70 @@
+/** Decides by peers alone whether a node may serve, where the platform can't tell the newest version. */
+import {pickInteger, type Random} from '@ebonylead/base/base.js';
+import {type Logger} from '@ebonylead/base/logs.js';
+import {type AppliedVersion} from '@ebonylead/rules/applied-version.js';
+import {MemberState, type Member} from './generated/peers.js';
+import {type PeerNode} from './peer-node.js';
+import {getAddress, type PeerAddress} from './peers.js';
+
+/** What `PeerConfirmation` needs. */
+export type PeerConfirmationParts = {
+	readonly peers: PeerNode;
+	readonly applied: AppliedVersion;
+	readonly random: Random;
+	readonly log: Logger;
+};
+
+/** Ready peers that must answer. */
+const neededAnswers = 3;
+
+/** Neighbours on the ring that are asked: half before this node, half after it. */
+const askedNeighbours = 4;
+const askedOthers = 4;
+
+/**
+ * Asks those who would know: the neighbours on the ring heard what this
+ * identity applied before, and any ready peer knows a version that was in force.
+ */
+export class PeerConfirmation {
+	readonly #parts: PeerConfirmationParts;
+
+	constructor(parts: PeerConfirmationParts) {
+		this.#parts = parts;
+	}
+
+	/** Catches up from peers, and says whether this node has what they know of. */
+	async confirm(): Promise<boolean> {
+		const {peers, applied, log} = this.#parts;
+		const learned = await peers.learnVersion(this.#listAsked());
+		const needed = Math.min(neededAnswers, Math.max(1, peers.membership.activeCount - 1));
+		if (learned.answers < needed) {
+			log.warn(`Does not serve: the platform is down and ${learned.answers} of ${needed} needed peers answered`);
+			return false;
+		}
+
+		return applied.version >= learned.version;
+	}
+
+	#listAsked(): PeerAddress[] {
+		const {peers} = this.#parts;
+		const neighbours = this.#listNeighbours();
+		const others = peers.membership.listAll().filter(member =>
+			member.state === MemberState.ALIVE && member.id !== peers.self.id && !neighbours.includes(member));
+		return [...neighbours, ...this.#pickSome(others, askedOthers)].map(member => getAddress(member));
+	}
+
+	#listNeighbours(): Member[] {
+		const {peers} = this.#parts;
+		const ring = peers.membership.listActive(peers.self.dataCentre).map(known => known.member);
+		const own = ring.findIndex(member => member.id === peers.self.id);
+		const half = askedNeighbours / 2;
+		const offsets = Array.from({length: askedNeighbours}, (_, index) => index < half ? index - half : index - half + 1);
+		const picked = offsets.map(offset => ring[(own + offset + (ring.length * askedNeighbours)) % ring.length]!);
+		return [...new Set(picked)].filter(member => member.id !== peers.self.id);
+	}
+
+	#pickSome<T>(items: readonly T[], count: number): T[] {
+		const rest = [...items];
+		return Array.from({length: Math.min(count, rest.length)}, () => rest.splice(pickInteger(this.#parts.random, rest.length), 1)[0]!);
+	}
+}
--- a/packages/peers/src/peer-node.ts
+++ b/packages/peers/src/peer-node.ts
@@ -3,6 +3,7 @@
 import {describeError} from '@ebonylead/base/errors.js';
 import {type Logger} from '@ebonylead/base/logs.js';
 import {type AppliedVersion} from '@ebonylead/rules/applied-version.js';
+import {type EncodedSnapshot} from '@ebonylead/rules/rules.js';
 import {type SnapshotDelta} from '@ebonylead/rules/snapshot-delta.js';
 import {CatchUp} from './catch-up.js';
 import {
@@ -69,6 +70,7 @@
 	readonly #outbox: Outbox;
 	readonly #catchUp: CatchUp;
 	readonly #heartbeats: Heartbeats;
+	#offered: EncodedSnapshot | undefined;
 
 	constructor(parts: PeerNodeParts) {
 		const {
@@ -143,7 +145,7 @@
 		const answers = results.filter(result => result.status === 'fulfilled').map(result => result.value).filter(({reply}) => reply.isReady);
 		const best = answers.toSorted((left, right) => right.reply.version - left.reply.version)[0];
 		if (best && best.reply.version > applied.version) {
-			await this.#catchUp.fetchVersion(best.address);
+			await this.#catchUpFrom(best.address);
 		}
 
 		return {
@@ -174,13 +176,18 @@
 		return this.#spreader.spreadEverywhere({versionDelta: new Uint8Array(0), members: [], suspects});
 	}
 
-	/** Spreads an accepted version to all data centres. */
-	async spreadVersion(delta: SnapshotDelta): Promise<PushReply> {
+	/**
+	 * Spreads an accepted version to all data centres; called before this node
+	 * puts it in force itself.
+	 */
+	async spreadVersion(encoded: EncodedSnapshot, delta: SnapshotDelta): Promise<PushReply> {
+		this.#offered = encoded;
 		return this.#spreader.spreadEverywhere({versionDelta: encodeDelta(delta), members: [], suspects: []});
 	}
 
-	/** Spreads an accepted version to this node's data centre. */
-	async spreadVersionLocally(delta: SnapshotDelta): Promise<PushReply> {
+	/** Spreads an accepted version to this node's data centre, as `spreadVersion` does. */
+	async spreadVersionLocally(encoded: EncodedSnapshot, delta: SnapshotDelta): Promise<PushReply> {
+		this.#offered = encoded;
 		return this.#spreader.spreadLocally({versionDelta: encodeDelta(delta), members: [], suspects: []});
 	}
 
@@ -233,11 +240,16 @@
 
 	async fetch(request: FetchRequest): Promise<FetchReply> {
 		const {applied} = this.#parts;
+		// Who can't use the delta of a push asks its sender, which has the version before it enforces it.
+		if (this.#offered && this.#offered.snapshot.version > Math.max(applied.version, request.haveVersion)) {
+			return {deltas: [], snapshot: buildSnapshotMessage(this.#offered)};
+		}
+
 		if (request.haveVersion >= applied.version) {
 			return {deltas: [], snapshot: undefined};
 		}
 
-		const deltas = applied.findDeltas(request.haveVersion);
+		const deltas = request.haveVersion === 0 ? undefined : applied.findDeltas(request.haveVersion);
 		return deltas === undefined
 			? {deltas: [], snapshot: buildSnapshotMessage(applied.current.encoded)}
 			: {deltas: deltas.map(delta => buildDeltaMessage(delta)), snapshot: undefined};
@@ -276,6 +288,15 @@
 		return sumCensusReplies([self, await this.#spreader.takeCensus(request.range, request)]);
 	}
 
+	/** A peer that goes away in between is no error: the caller asks again. */
+	async #catchUpFrom(address: PeerAddress): Promise<void> {
+		try {
+			await this.#catchUp.fetchVersion(address);
+		} catch (error) {
+			this.#parts.log.info(`Catching up from ${formatAddress(address)} failed: ${describeError(error)}`);
+		}
+	}
+
 	#countSelf(expectedVersion: number): CensusReply {
 		const {applied, countControlBytes, listQuarantined} = this.#parts;
 		const {id, dataCentre} = this.#self.member;
--- a/packages/peers/src/test/peer-node_test.ts
+++ b/packages/peers/src/test/peer-node_test.ts
@@ -3,8 +3,9 @@
 import {emptySnapshot, encodeSnapshot} from '@ebonylead/rules/snapshot-codec.js';
 import {computeDelta} from '@ebonylead/rules/snapshot-delta.js';
 import {describe, it} from '@ebonylead/stand-ins/describe.js';
+import {acceptVersion} from '@ebonylead/stand-ins/fuzz-case.js';
 import {FakeFleet, type FakeNode} from '@ebonylead/stand-ins/fake-fleet.js';
-import {MemberState} from '../generated/peers.js';
+import {MemberState, type PushReply} from '../generated/peers.js';
 import {getAddress} from '../peers.js';
 
 const twoDataCentres = ['a', 'a', 'a', 'a', 'b', 'b', 'b', 'b'];
@@ -22,9 +23,8 @@
 	return fleet;
 }
 
-async function accept(node: FakeNode, version: number) {
-	node.applied.apply(snapshots[version]!);
-	return node.peers.spreadVersion(computeDelta(snapshots[version - 1]!.snapshot, snapshots[version]!));
+async function accept(node: FakeNode, version: number): Promise<PushReply> {
+	return acceptVersion(node, snapshots[version - 1]!, snapshots[version]!);
 }
 
 function listVersions(fleet: FakeFleet): number[] {
@@ -71,7 +71,7 @@
 			const node = fleet.nodes[0]!;
 			await accept(node, 1);
 			await accept(node, 2);
-			await node.peers.spreadVersion(computeDelta(snapshots[0]!.snapshot, snapshots[1]!));
+			await node.peers.spreadVersion(snapshots[1]!, computeDelta(snapshots[0]!.snapshot, snapshots[1]!));
 			t.deepEqual(new Set(listVersions(fleet)), new Set([2]));
 			t.deepEqual(fleet.faults, []);
 			fleet.stop();
@@ -103,6 +103,51 @@
 		fleet.stop();
 	});
 
+	describe('a node that accepted a version', () => {
+		it('does not enforce it before another node has it', async t => {
+			const fleet = await startFleet(21);
+			const cut = fleet.nodes[0]!;
+			fleet.network.rule = (from, to) => from === cut.address || to === cut.address ? 'silence' : 'pass';
+			const pending = accept(cut, 1);
+			await fleet.clock.advance(10_000);
+			const reply = await pending;
+			t.is(reply.reached, 0);
+			t.is(cut.applied.version, 0);
+			fleet.stop();
+		});
+
+		it('hands it to those who can not use its push', async t => {
+			const fleet = await startFleet(22);
+			await accept(fleet.nodes[0]!, 1);
+			fleet.nodes[3]!.applied.apply(snapshots[1]!);
+			await fleet.nodes[0]!.peers.spreadVersion(snapshots[3]!, computeDelta(snapshots[2]!.snapshot, snapshots[3]!));
+			t.deepEqual(listVersions(fleet).slice(1), [3, 3, 3, 3, 3, 3, 3]);
+			fleet.stop();
+		});
+
+		it('outlives a peer that goes away while a successor catches up from it', async t => {
+			const fleet = await startFleet(23);
+			await accept(fleet.nodes[0]!, 1);
+			const late = await fleet.add('late', 'a');
+			for (const node of fleet.nodes) {
+				node.peers.fetch = async () => {
+					throw new Error('gone');
+				};
+			}
+
+			await fleet.clock.advance(2000);
+			t.false(late.isServing);
+			for (const node of fleet.nodes) {
+				delete (node.peers as {fetch?: unknown}).fetch;
+			}
+
+			await fleet.clock.advance(5000);
+			t.true(late.isServing);
+			t.is(late.applied.version, 1);
+			fleet.stop();
+		});
+	});
+
 	describe('failure detection', () => {
 		it('finds a killed node, and tells all others', async t => {
 			const fleet = await startFleet(6);
@@ -205,6 +250,7 @@
 			await fleet.clock.advance(3000);
 			fleet.kill(fleet.nodes[1]!);
 			const again = await fleet.add('n1', 'a');
+			t.false(again.isServing);
 			const learned = await again.peers.learnVersion(fleet.running.filter(node => node !== again).map(node => getAddress(node.peers.self)));
 			t.is(learned.version, 1);
 			t.is(again.applied.version, 1);
--- a/packages/rules/src/applied-version.ts
+++ b/packages/rules/src/applied-version.ts
@@ -78,6 +78,28 @@
 			.orDefault(false);
 	}
 
+	/**
+	 * Applies a chain of deltas in one swap, so that no version between is ever in force.
+	 *
+	 * @returns Whether the version in force is now at least the last delta's target.
+	 */
+	applyDeltas(deltas: readonly SnapshotDelta[]): boolean {
+		let {encoded} = this.#cell.value;
+		for (const delta of deltas) {
+			if (delta.toVersion > encoded.snapshot.version) {
+				const next = applyDelta(encoded.snapshot, delta);
+				if (next.isLeft()) {
+					return false;
+				}
+
+				encoded = next.unsafeCoerce();
+			}
+		}
+
+		this.apply(encoded);
+		return true;
+	}
+
 	/** Returns the deltas that lead from a version to the one in force, or undefined where they are not kept. */
 	findDeltas(fromVersion: number): readonly SnapshotDelta[] | undefined {
 		const start = this.#deltas.findIndex(delta => delta.fromVersion === fromVersion);
--- a/packages/rules/src/test/applied-version_test.ts
+++ b/packages/rules/src/test/applied-version_test.ts
@@ -57,10 +57,7 @@
 		applied.apply(snapshots[3]!);
 		const behind = new AppliedVersion();
 		behind.apply(snapshots[1]!);
-		for (const delta of applied.findDeltas(1)!) {
-			t.true(behind.applyDelta(delta));
-		}
-
+		t.true(behind.applyDeltas(applied.findDeltas(1)!));
 		t.is(behind.current.encoded.digest, snapshots[3]!.digest);
 		t.is(applied.findDeltas(7), undefined);
 	});
--- a/packages/stand-ins/src/fake-clock.ts
+++ b/packages/stand-ins/src/fake-clock.ts
@@ -20,7 +20,7 @@
 	}
 
 	wallTime(): number {
-		return startOfWallTime + this.#now;
+		return startOfWallTime + Math.floor(this.#now);
 	}
 
 	async sleep(duration: number, signal?: AbortSignal): Promise<void> {
--- a/packages/stand-ins/src/fake-fleet.ts
+++ b/packages/stand-ins/src/fake-fleet.ts
@@ -4,6 +4,7 @@
 import {SeededRandom} from '@ebonylead/base/random.js';
 import {MemberState, UpstreamState, type Member} from '@ebonylead/peers/generated/peers.js';
 import {defaultHeartbeatTimes} from '@ebonylead/peers/heartbeats.js';
+import {PeerConfirmation} from '@ebonylead/peers/peer-confirmation.js';
 import {PeerNode} from '@ebonylead/peers/peer-node.js';
 import {formatAddress, getAddress} from '@ebonylead/peers/peers.js';
 import {AppliedVersion} from '@ebonylead/rules/applied-version.js';
@@ -18,11 +19,16 @@
 	readonly controller: AbortController;
 	isReplaced: boolean;
 
+	/** Whether the node would serve calls. */
+	isServing: boolean;
+
 	/** Fingerprints that this node heard of. */
 	readonly suspects: string[];
 };
 
 const firstPort = 1000;
+const confirmationPeriod = 500;
+const log = createPartLogger(createLogger('silent'), 'peers');
 
 /** Makes nodes, and checks on every step that no version goes back. */
 export class FakeFleet {
@@ -43,7 +49,8 @@
 	/** Starts nodes that join through the first one. */
 	async start(dataCentres: readonly string[]): Promise<void> {
 		for (const [index, dataCentre] of dataCentres.entries()) {
-			await this.add(`n${index}`, dataCentre);
+			const node = await this.add(`n${index}`, dataCentre);
+			this.#serve(node);
 		}
 	}
 
@@ -58,6 +65,7 @@
 			address: formatAddress(address),
 			controller: new AbortController(),
 			isReplaced: false,
+			isServing: false,
 			suspects: [],
 			peers: new PeerNode({
 				deployment: 'd',
@@ -68,20 +76,20 @@
 				transport: this.network.createTransport(address),
 				clock: this.clock,
 				random: new SeededRandom(this.#seed + port),
-				log: createPartLogger(createLogger('silent'), 'peers'),
+				log,
 				countControlBytes: () => 0,
 				listQuarantined: () => [],
 				onSuspects(suspects) {
 					node.suspects.push(...suspects.map(suspect => suspect.fingerprint));
 				},
-				isReady: () => true,
+				isReady: () => node.isServing,
 				onReplaced() {
 					node.isReplaced = true;
 				},
 			}),
 		};
 		setMaxListeners(0, node.controller.signal);
-		this.#watchVersion(id, applied);
+		this.#watchVersion(node, id);
 		this.network.attach(address, node.peers);
 		const first = this.nodes.find(other => !other.controller.signal.aborted);
 		this.nodes.push(node);
@@ -90,6 +98,7 @@
 		}
 
 		void node.peers.run(node.controller.signal);
+		void this.#serveWhenConfirmed(node);
 		return node;
 	}
 
@@ -111,18 +120,41 @@
 		}
 	}
 
-	#watchVersion(id: string, applied: AppliedVersion): void {
-		void applied.observeChanges().skip(1).observe(({encoded}) => {
-			const {version} = encoded.snapshot;
-			const highest = this.#highest.get(id) ?? 0;
-			if (version < highest) {
-				this.faults.push(`${id} applied version ${version} after version ${highest}`);
+	/** Serves once peers confirm the version, as a node does while the platform is down. */
+	async #serveWhenConfirmed(node: FakeNode): Promise<void> {
+		const confirmation = new PeerConfirmation({
+			peers: node.peers, applied: node.applied, random: new SeededRandom(this.#seed), log,
+		});
+		while (!node.isServing && !node.controller.signal.aborted) {
+			await this.clock.sleep(confirmationPeriod, node.controller.signal);
+			if (!node.isServing && await confirmation.confirm()) {
+				this.#serve(node);
 			}
+		}
+	}
+
+	#serve(node: FakeNode): void {
+		node.isServing = true;
+		this.#noteVersion(node.peers.self.id, node.applied.version);
+	}
 
-			this.#highest.set(id, Math.max(highest, version));
+	#watchVersion(node: FakeNode, id: string): void {
+		void node.applied.observeChanges().skip(1).observe(({encoded}) => {
+			if (node.isServing && !node.controller.signal.aborted) {
+				this.#noteVersion(id, encoded.snapshot.version);
+			}
 		});
 	}
 
+	#noteVersion(id: string, version: number): void {
+		const highest = this.#highest.get(id) ?? 0;
+		if (version < highest) {
+			this.faults.push(`${id} serves version ${version} after version ${highest}`);
+		}
+
+		this.#highest.set(id, Math.max(highest, version));
+	}
+
 	#createMember(id: string, dataCentre: string, port: number): Member {
 		return {
 			id,
--- a/packages/stand-ins/src/fake-platform.ts
+++ b/packages/stand-ins/src/fake-platform.ts
@@ -15,6 +15,9 @@
 
 	/** Count of coming transactions whose answers are lost after their effect. */
 	lostAnswers: number;
+
+	/** Count of coming transactions that take effect only after their answers are lost. */
+	lateEffects: number;
 };
 
 /** Counts of operations since the start. */
@@ -23,9 +26,14 @@
 	writes: number;
 };
 
+const lateDelay = 200;
+
 /** Keeps rows and objects in memory and causes the faults it is told to. */
 export class FakePlatform implements TableService, ObjectStore {
-	readonly faults: PlatformFaults = {isDown: false, delay: 0, lostAnswers: 0};
+	readonly faults: PlatformFaults = {
+		isDown: false, delay: 0, lostAnswers: 0, lateEffects: 0,
+	};
+
 	readonly counts: PlatformCounts = {reads: 0, writes: 0};
 	/** Called right after an answer was lost, to cause a second fault at that point. */
 	onLostAnswer: (() => void) | undefined;
@@ -53,6 +61,12 @@
 	async runTransaction(transaction: Transaction): Promise<TransactionOutcome> {
 		await this.#enter('run transaction');
 		this.counts.writes++;
+		if (this.faults.lateEffects > 0) {
+			this.faults.lateEffects--;
+			void this.#runLate(transaction);
+			throw new OutcomeUnknownError('run transaction', 'fake platform', 'the answer was lost');
+		}
+
 		const outcome = this.#runNow(transaction);
 		if (this.faults.lostAnswers > 0) {
 			this.faults.lostAnswers--;
@@ -75,6 +89,11 @@
 		return this.#objects.get(digest);
 	}
 
+	async #runLate(transaction: Transaction): Promise<void> {
+		await this.#clock.sleep(lateDelay);
+		this.#runNow(transaction);
+	}
+
 	#runNow(transaction: Transaction): TransactionOutcome {
 		const isHeld = transaction.conditions.every(({key, revision}) => (this.#rows.get(key)?.revision ?? 0) === revision);
 		if (!isHeld) {
--- a/packages/stand-ins/src/mesh-harness.ts
+++ b/packages/stand-ins/src/mesh-harness.ts
@@ -38,6 +38,12 @@
 	runs: number;
 };
 
+/** What a place is like. */
+export type PlaceOptions = {
+	readonly slots?: number;
+	readonly service?: string;
+};
+
 const host = '127.0.0.1';
 const log = createLogger('silent');
 const defaultSlots = 4;
@@ -90,8 +96,8 @@
 		this.applied.apply(encodeSnapshot({version: this.#version, rules: parseRuleFile('f', rules.join('\n')).unsafeCoerce().rules}));
 	}
 
-	/** Adds a node beside an upstream; with `meshPort` the entry reaches it through another port. */
-	async addPlace(behaviour: UpstreamBehaviour, slots = defaultSlots, meshPort?: number): Promise<HarnessPlace> {
+	/** Adds a node beside an upstream. */
+	async addPlace(behaviour: UpstreamBehaviour, {slots = defaultSlots, service = 's'}: PlaceOptions = {}): Promise<HarnessPlace> {
 		const upstream = createServer((request, response) => {
 			place.runs++;
 			behaviour(request, response);
@@ -113,10 +119,10 @@
 		await mesh.listen(host, 0);
 		const url = `http://${host}:${(upstream.address() as AddressInfo).port}`;
 		link.receive({
-			service: 's', url, slots, connections: 20, state: 'ready',
+			service, url, slots, connections: 20, state: 'ready',
 		});
 		this.places.push(place);
-		this.membership.merge([this.#createMember(place, slots, meshPort ?? mesh.port)], 0);
+		this.membership.merge([this.#createMember(place, service, slots)], 0);
 		return place;
 	}
 
@@ -142,7 +148,7 @@
 		}
 	}
 
-	#createMember(place: HarnessPlace, slots: number, meshPort: number): Member {
+	#createMember(place: HarnessPlace, service: string, slots: number): Member {
 		return {
 			id: place.id,
 			incarnation: 1,
@@ -150,9 +156,9 @@
 			region: 'r',
 			host,
 			peerPort: 1,
-			meshPort,
+			meshPort: place.mesh.port,
 			state: MemberState.ALIVE,
-			service: 's',
+			service,
 			upstreamState: UpstreamState.READY,
 			slots,
 			instance: 1,
