--- a/packages/node/src/ebonylead.ts
+++ b/packages/node/src/ebonylead.ts
@@ -5,7 +5,9 @@
 	checkCommand, exitCodes, explainCommand, rulesCommand, runCommand, statusCommand, submitCommand,
 } from '@ebonylead/operators/command-line.js';
 import {readSettings} from '@ebonylead/operators/settings.js';
-import {defineCommand, runMain} from 'citty';
+import {
+	defineCommand, runMain, showUsage, type CommandDef,
+} from 'citty';
 import {Node} from './node.js';
 
 // A single executable takes no engine flags, so the limits of the heap are set here.
@@ -51,10 +53,17 @@
 	process.on('SIGINT', stop);
 }
 
-const main = defineCommand({
+const helpCommand = defineCommand({
+	meta: {name: 'help', description: 'Show this text.'},
+	async run() {
+		await showUsage(main);
+	},
+});
+
+const main: CommandDef = defineCommand({
 	meta: {name: 'ebonylead', version: '0.1.0', description: 'Distributes routing rules to the proxies of a service mesh.'},
 	subCommands: {
-		node: nodeCommand, check: checkCommand, submit: submitCommand, rules: rulesCommand, status: statusCommand, explain: explainCommand,
+		node: nodeCommand, check: checkCommand, submit: submitCommand, rules: rulesCommand, status: statusCommand, explain: explainCommand, help: helpCommand,
 	},
 });
 
--- /dev/null
+++ b/packages/peers/src/test/decoders_test.ts
@@ -0,0 +1,43 @@
+import {Buffer} from 'node:buffer';
+import fc from 'fast-check';
+import {describe, it} from '@ebonylead/stand-ins/describe.js';
+import {AppliedVersion} from '@ebonylead/rules/applied-version.js';
+import {
+	BeatRequest, FetchReply, PushRequest, SyncRequest,
+} from '../generated/peers.js';
+import {decodeDelta, readSnapshotMessage} from '../version-messages.js';
+
+/** Decodes bytes; an error is an answer, a value must be usable. */
+function decodeSafely<T>(decode: () => T): T | undefined {
+	try {
+		return decode();
+	} catch (error) {
+		if (error instanceof Error) {
+			return undefined;
+		}
+
+		throw error;
+	}
+}
+
+describe('decoders that a peer can reach', () => {
+	it('answer random bytes by a value or an error, and never put such a value in force', t => {
+		const applied = new AppliedVersion();
+		t.notThrows(() => {
+			fc.assert(fc.property(fc.uint8Array({maxLength: 200}), bytes => {
+				const buffer = Buffer.from(bytes);
+				for (const message of [PushRequest, BeatRequest, SyncRequest, FetchReply]) {
+					decodeSafely(() => message.decode(buffer));
+				}
+
+				const delta = decodeSafely(() => decodeDelta(bytes));
+				if (delta) {
+					decodeSafely(() => applied.applyDelta(delta));
+				}
+
+				readSnapshotMessage({version: 1, digest: buffer.subarray(0, 32), content: buffer}).ifRight(encoded => applied.apply(encoded));
+				return applied.version === 0;
+			}), {seed: 20_261_203, numRuns: 1000});
+		});
+	});
+});
--- a/packages/stand-ins/src/upstream-stand-in.ts
+++ b/packages/stand-ins/src/upstream-stand-in.ts
@@ -136,6 +136,12 @@
 				return;
 			}
 
+			case '/load': {
+				const load = this.isLying ? 0 : this.#inFlight / this.#options.slots;
+				response.end(String(load));
+				return;
+			}
+
 			default: {
 				await this.#serveCall(request, response);
 			}
