--- a/packages/callers/src/call.ts
+++ b/packages/callers/src/call.ts
@@ -27,7 +27,9 @@
 
 /** Share of the deadline in which the other node must show a sign of life; it sends them more often. */
 const progressShare = 0.5;
-const minProgressTimeout = 50;
+
+/** A stall of this process for less, in milliseconds, must not make a connection look silent. */
+const minProgressTimeout = 200;
 const defaultRetryAfter = 200;
 const percentTotal = 100;
 
