Report service-level burn for each route, with who asked for its rule

Cause: the users want a report on service-level burn; metrics of single nodes do not give one. Objectives stand in the settings.

--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -3,9 +3,10 @@
  * while, through changes of rules and through failures. Ends by itself.
  */
 import {randomUUID} from 'node:crypto';
-import {readFileSync} from 'node:fs';
+import {readFileSync, writeFileSync} from 'node:fs';
 import process from 'node:process';
 import {SeededRandom} from '@ebonylead/base/random.js';
+import {renderBurnPage} from '@ebonylead/operators/burn-report.js';
 import {OperatorClient} from '@ebonylead/operators/operator-client.js';
 import {type SubmitEvent} from '@ebonylead/operators/operators.js';
 import {crownStock, yieldAnnex, type Deployment} from './deployments.js';
@@ -124,6 +125,7 @@
 		await this.#stopNodeGracefully();
 		await this.#failPlatform();
 		await this.#load.stop();
+		await this.#writeReport();
 		this.#watch.stop();
 		const controlRate = (await this.#readControlBytes() - bytesBefore) / (performance.now() - startedAt) * 1000 / places.length;
 		const summary = summarizeLoad(this.#load.records, readRuns(this.#fleet.runLogFile));
@@ -182,6 +184,13 @@
 		await this.#submit('rules after the outage', this.#text);
 	}
 
+	async #writeReport(): Promise<void> {
+		const report = await new OperatorClient(this.#fleet.getOperatorUrl(this.#deployment.places[0]!)).readReport();
+		const file = `dist/report-${this.#deployment.name}.html`;
+		writeFileSync(file, renderBurnPage(report));
+		this.#say(`burn report of ${report.rows.length} routes written to ${file}`);
+	}
+
 	async #submit(title: string, text: string): Promise<void> {
 		const events = await this.#send(this.#deployment.places[0]!, text);
 		const last = events.at(-1);
--- a/packages/bench/src/fake-members.ts
+++ b/packages/bench/src/fake-members.ts
@@ -58,7 +58,7 @@
 			sync: this.#answer<unknown, SyncReply>(() => ({differingBuckets: [], members: [...this.members]})),
 			push: this.#answer<unknown, PushReply>(() => ({reached: 1, unreached: [], unreachedCount: 0})),
 			census: this.#answer<unknown, CensusReply>(() => ({
-				counts: [], laggards: [], unreached: [], controlBytes: 0, quarantined: [],
+				counts: [], laggards: [], unreached: [], controlBytes: 0, quarantined: [], calls: [],
 			})),
 			fetch(_call: unknown, callback: sendUnaryData<never>) {
 				callback({code: status.UNIMPLEMENTED});
--- a/packages/callers/src/call.ts
+++ b/packages/callers/src/call.ts
@@ -35,6 +35,7 @@
 
 const statusBadRequest = 400;
 const statusNotFound = 404;
+const firstServerError = 500;
 const statusBadGateway = 502;
 const statusUnavailable = 503;
 const statusTimeout = 504;
@@ -99,6 +100,7 @@
 		} finally {
 			clearTimeout(timer);
 			this.#parts.metrics.recordCall(this.#service, this.#result, this.#parts.clock.now() - this.#startedAt);
+			this.#recordBurn(route);
 		}
 	}
 
@@ -298,6 +300,14 @@
 		return Buffer.concat(chunks);
 	}
 
+	/** Counts the call against the route's objective; a caller that left says nothing about the service. */
+	#recordBurn(route: Route): void {
+		if (this.#result !== callResults.callerLeft) {
+			const isGood = this.#result === callResults.answered && this.#response.statusCode < firstServerError;
+			this.#parts.burn.record(route.key, isGood);
+		}
+	}
+
 	get #version(): number {
 		return this.#applied.encoded.snapshot.version;
 	}
--- a/packages/callers/src/callers.ts
+++ b/packages/callers/src/callers.ts
@@ -12,6 +12,7 @@
 import {listenOn} from '@ebonylead/upstreams/announcement-listener.js';
 import {sendRefusal} from '@ebonylead/upstreams/refusals.js';
 import {outcomes, type Refusal} from '@ebonylead/upstreams/upstreams.js';
+import {type BurnCounters} from './burn-counters.js';
 import {type CallMetrics} from './call-metrics.js';
 import {Call} from './call.js';
 import {type MeshPools} from './mesh-pools.js';
@@ -29,6 +30,7 @@
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly requestIds: RequestIds;
+	readonly burn: BurnCounters;
 	readonly log: Logger;
 
 	/** Says whether this node may serve: it knows the newest version and was not paused. */
--- a/packages/node/src/ebonylead.ts
+++ b/packages/node/src/ebonylead.ts
@@ -2,7 +2,7 @@
 import process from 'node:process';
 import {setFlagsFromString} from 'node:v8';
 import {
-	checkCommand, exitCodes, explainCommand, rulesCommand, runCommand, statusCommand, submitCommand,
+	checkCommand, exitCodes, explainCommand, reportCommand, rulesCommand, runCommand, statusCommand, submitCommand,
 } from '@ebonylead/operators/command-line.js';
 import {readSettings} from '@ebonylead/operators/settings.js';
 import {
@@ -63,7 +63,7 @@
 const main: CommandDef = defineCommand({
 	meta: {name: 'ebonylead', version: '0.1.0', description: 'Distributes routing rules to the proxies of a service mesh.'},
 	subCommands: {
-		node: nodeCommand, check: checkCommand, submit: submitCommand, rules: rulesCommand, status: statusCommand, explain: explainCommand, help: helpCommand,
+		node: nodeCommand, check: checkCommand, submit: submitCommand, rules: rulesCommand, status: statusCommand, explain: explainCommand, report: reportCommand, help: helpCommand,
 	},
 });
 
--- a/packages/node/src/node-operations.ts
+++ b/packages/node/src/node-operations.ts
@@ -2,6 +2,8 @@
 import {
 	type ExplainReport, type OperatorHandlers, type RuleExplanation, type StatusReport, type SubmitEvent, type SubmitRequest,
 } from '@ebonylead/operators/operators.js';
+import {buildBurnRows, type BurnReport, type Objectives} from '@ebonylead/operators/burn-report.js';
+import {burnWindows} from '@ebonylead/callers/burn-counters.js';
 import {type TargetChooser} from '@ebonylead/callers/target-chooser.js';
 import {MemberState, UpstreamState, type DataCentreCount} from '@ebonylead/peers/generated/peers.js';
 import {type GrpcTransport} from '@ebonylead/peers/grpc-transport.js';
@@ -24,6 +26,7 @@
 	readonly registry: Registry;
 	readonly transport: GrpcTransport;
 	readonly isReady: () => boolean;
+	readonly objectives: Objectives;
 };
 
 /** Most rules that an explanation lists besides the one that matched. */
@@ -79,6 +82,18 @@
 		};
 	}
 
+	async buildReport(): Promise<BurnReport> {
+		const {peers, applied, objectives} = this.#parts;
+		const census = await peers.takeCensus(true);
+		const {snapshot} = applied.current.encoded;
+		return {
+			version: snapshot.version,
+			windows: burnWindows.map(window => window.name),
+			rows: buildBurnRows(census.calls, snapshot.rules, objectives),
+			unreached: census.unreached,
+		};
+	}
+
 	async formatMetrics(): Promise<string> {
 		return this.#parts.registry.metrics();
 	}
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -4,6 +4,7 @@
 import {describeError} from '@ebonylead/base/errors.js';
 import {createLogger, createPartLogger, type Logger} from '@ebonylead/base/logs.js';
 import {SystemRandom} from '@ebonylead/base/random.js';
+import {BurnCounters} from '@ebonylead/callers/burn-counters.js';
 import {CallMetrics} from '@ebonylead/callers/call-metrics.js';
 import {CallerListener} from '@ebonylead/callers/callers.js';
 import {MeshPools} from '@ebonylead/callers/mesh-pools.js';
@@ -69,6 +70,7 @@
 	readonly #controller = new AbortController();
 	readonly #applied = new AppliedVersion();
 	readonly #quarantine = new Quarantine(this.#clock);
+	readonly #burn = new BurnCounters(this.#clock);
 	readonly #transport = new GrpcTransport();
 	readonly #pools = new MeshPools();
 	readonly #platform: HttpPlatform;
@@ -142,6 +144,7 @@
 			budget: new RetryBudget(),
 			metrics: new CallMetrics(this.#registry),
 			requestIds: new RequestIds(random),
+			burn: this.#burn,
 			clock,
 			random,
 			log: this.#createLog('callers'),
@@ -158,7 +161,7 @@
 			log: this.#createLog('operators'),
 		});
 		this.#operators = new OperatorListener(new NodeOperations({
-			submissions, applied, chooser, peers: this.#peers, watcher: this.#watcher, registry: this.#registry, isReady: () => this.#checkReady(), transport: this.#transport,
+			submissions, applied, chooser, peers: this.#peers, watcher: this.#watcher, registry: this.#registry, isReady: () => this.#checkReady(), transport: this.#transport, objectives: settings.objectives,
 		}), this.#createLog('operators'));
 		registerNodeMetrics(this.#registry, {
 			applied, membership: this.#peers.membership, transport: this.#transport, link: this.#link, watcher: this.#watcher, isReady: () => this.#readiness.isReady,
@@ -237,6 +240,7 @@
 			log: this.#createLog('peers'),
 			countControlBytes: () => this.#transport.counts.bytes,
 			listQuarantined: () => this.#quarantine.quarantined,
+			listCalls: () => this.#burn.list(),
 			onSuspects: suspects => {
 				this.#quarantine.merge(suspects);
 			},
--- a/packages/node/src/test/node_test.ts
+++ b/packages/node/src/test/node_test.ts
@@ -91,6 +91,9 @@
 				}, limit);
 			}
 
+			const report = await new OperatorClient(fleet.getOperatorUrl(places[2]!)).readReport();
+			t.true(report.rows[0]!.calls[0]! >= places.length);
+			t.is(report.rows[0]!.askedBy, 'Ivanka');
 			const descriptors = readdirSync(`/proc/${fleet.getPid('node n0')}/fd`).map(name => readlinkSync(`/proc/${fleet.getPid('node n0')}/fd/${name}`));
 			t.deepEqual(descriptors.filter(name => name.includes('io_uring')), []);
 
--- /dev/null
+++ b/packages/operators/src/burn-report.ts
@@ -0,0 +1,124 @@
+/** The report on service-level burn: how fast each route spends its error budget. */
+import {getRuleKey, type Rule} from '@ebonylead/rules/rules.js';
+
+/** What a report row is made from. */
+export type BurnCounts = {
+	readonly route: string;
+
+	/** Good calls, one number for each window. */
+	readonly good: readonly number[];
+
+	/** Bad calls, one number for each window. */
+	readonly bad: readonly number[];
+};
+
+/** One route in the report. */
+export type BurnRow = {
+	readonly route: string;
+	readonly services: readonly string[];
+	readonly objective: number;
+
+	/** Calls in each window. */
+	readonly calls: readonly number[];
+
+	/** Speed at which the budget is spent in each window; 1 spends it exactly. */
+	readonly burnRates: readonly number[];
+
+	/** Share of the budget of the longest window that is left; below 0 it is overspent. */
+	readonly budgetLeft: number;
+
+	/** Who asked for the rule; empty for a rule that is no longer in force. */
+	readonly askedBy: string;
+
+	/** Version in which the rule came in; 0 for a rule that is no longer in force. */
+	readonly since: number;
+};
+
+/** The whole report. */
+export type BurnReport = {
+	readonly version: number;
+	readonly windows: readonly string[];
+
+	/** The routes, the fastest burning first. */
+	readonly rows: readonly BurnRow[];
+
+	/** Nodes whose counts are missing. */
+	readonly unreached: readonly string[];
+};
+
+/** Objectives by service, as shares of good calls. */
+export type Objectives = Readonly<Record<string, number>>;
+
+/** Objective of a service that the settings do not name. */
+export const defaultObjective = 0.999;
+
+/** Builds the rows of a report from the counts of all nodes. */
+export function buildBurnRows(counts: readonly BurnCounts[], rules: readonly Rule[], objectives: Objectives): BurnRow[] {
+	const ruleOfKey = new Map(rules.map(rule => [getRuleKey(rule), rule]));
+	const rows = counts.map(count => buildRow(count, ruleOfKey.get(count.route), objectives));
+	return rows.toSorted((left, right) => Math.max(...right.burnRates) - Math.max(...left.burnRates));
+}
+
+function buildRow(count: BurnCounts, rule: Rule | undefined, objectives: Objectives): BurnRow {
+	const services = rule?.split.map(share => share.service) ?? [];
+	const objective = pickObjective(services, objectives);
+	const budget = 1 - objective;
+	const calls = count.good.map((good, index) => good + count.bad[index]!);
+	const burnRates = calls.map((total, index) => total === 0 ? 0 : count.bad[index]! / total / budget);
+	return {
+		route: count.route, services, objective, calls, burnRates, budgetLeft: 1 - burnRates.at(-1)!, askedBy: rule?.askedBy ?? '', since: rule?.since ?? 0,
+	};
+}
+
+/** The strictest objective of a route's services. */
+function pickObjective(services: readonly string[], objectives: Objectives): number {
+	return services.length === 0 ? defaultObjective : Math.max(...services.map(service => objectives[service] ?? defaultObjective));
+}
+
+/** Returns the report as text. */
+export function formatBurnReport(report: BurnReport): string {
+	const rows = report.rows.map(row => [
+		row.route,
+		`  ${report.windows.map((window, index) => `${window} ${row.burnRates[index]!.toFixed(1)}x of ${row.calls[index]}`).join(', ')}`,
+		`  objective ${(row.objective * 100).toFixed(2)}%, budget left ${(row.budgetLeft * 100).toFixed(0)}%, asked by ${row.askedBy || '(rule no longer in force)'}, since version ${row.since}`,
+	].join('\n'));
+	const missing = report.unreached.length === 0 ? '' : `\nWithout the calls of ${report.unreached.length} nodes that did not answer: ${report.unreached.slice(0, 10).join(', ')}`;
+	const body = rows.length === 0 ? 'No calls yet.' : rows.join('\n');
+	return `Burn of error budgets under version ${report.version}; 1x spends a budget exactly.\n${body}${missing}`;
+}
+
+const barWidth = 220;
+const barHeight = 14;
+const fullBarRate = 10;
+
+/** Returns the report as a page that opens without a network. */
+export function renderBurnPage(report: BurnReport): string {
+	const heads = report.windows.map(window => `<th>${escapeHtml(window)}</th>`).join('');
+	const rows = report.rows.map(row => renderRow(row)).join('\n');
+	return `<!doctype html>
+<html lang="en"><meta charset="utf-8"><title>Service-level burn</title>
+<style>body{font:14px sans-serif;margin:2em}table{border-collapse:collapse}td,th{padding:.3em .6em;border-bottom:1px solid #ccc;text-align:left;vertical-align:top}small{color:#555}</style>
+<h1>Service-level burn</h1>
+<p>Version ${report.version}. A bar is the speed at which a route spends its error budget; the line marks 1x, which spends it exactly.${report.unreached.length === 0 ? '' : ` ${report.unreached.length} nodes did not answer.`}</p>
+<table><tr><th>Route</th>${heads}<th>Budget left</th></tr>
+${rows}
+</table></html>
+`;
+}
+
+function renderRow(row: BurnRow): string {
+	const bars = row.burnRates.map((rate, index) => `<td>${renderBar(rate)}<br><small>${rate.toFixed(1)}x of ${row.calls[index]} calls</small></td>`).join('');
+	const asker = row.askedBy === '' ? 'rule no longer in force' : `asked by ${row.askedBy}, since version ${row.since}`;
+	return `<tr><td>${escapeHtml(row.route)}<br><small>${escapeHtml(row.services.join(', '))}; objective ${(row.objective * 100).toFixed(2)}%; ${escapeHtml(asker)}</small></td>${bars}<td>${(row.budgetLeft * 100).toFixed(0)}%</td></tr>`;
+}
+
+function renderBar(rate: number): string {
+	const width = Math.min(1, rate / fullBarRate) * barWidth;
+	const mark = barWidth / fullBarRate;
+	const colour = rate > 1 ? '#c0392b' : '#27ae60';
+	return `<svg width="${barWidth}" height="${barHeight}" role="img" aria-label="${rate.toFixed(1)}x"><rect width="${barWidth}" height="${barHeight}" fill="#eee"/><rect width="${width.toFixed(1)}" height="${barHeight}" fill="${colour}"/><line x1="${mark}" x2="${mark}" y1="0" y2="${barHeight}" stroke="#000"/></svg>`;
+}
+
+function escapeHtml(text: string): string {
+	return text.replaceAll('&', '&amp;').replaceAll('<', '&lt;').replaceAll('>', '&gt;').replaceAll('"', '&quot;');
+}
--- a/packages/operators/src/command-line.ts
+++ b/packages/operators/src/command-line.ts
@@ -6,6 +6,7 @@
 import {describeError} from '@ebonylead/base/errors.js';
 import {formatFault, parseRuleFile} from '@ebonylead/rules/rule-file.js';
 import {defineCommand} from 'citty';
+import {formatBurnReport, renderBurnPage} from './burn-report.js';
 import {OperatorClient} from './operator-client.js';
 import {type SubmitEvent} from './operators.js';
 import {formatEvent, formatExplanation, formatStatus} from './texts.js';
@@ -148,6 +149,23 @@
 	},
 });
 
+/** `ebonylead report` */
+export const reportCommand = defineCommand({
+	meta: {name: 'report', description: 'Report how fast the routes spend their error budgets.'},
+	args: {node: nodeArgument, json: jsonArgument, html: {type: 'string', description: 'Write a page to this file.'}},
+	async run({args}) {
+		await runCommand(async () => {
+			const report = await new OperatorClient(args.node).readReport();
+			if (args.html !== undefined) {
+				await writeFile(args.html, renderBurnPage(report));
+				return;
+			}
+
+			printLine(args.json ? JSON.stringify(report) : formatBurnReport(report));
+		});
+	},
+});
+
 /** Runs a command, and prints an error as one sentence. */
 export async function runCommand(run: () => Promise<void>): Promise<void> {
 	try {
--- a/packages/operators/src/operator-client.ts
+++ b/packages/operators/src/operator-client.ts
@@ -1,6 +1,7 @@
 /** Speaks to a node on behalf of an operator. */
 import {StepError, describeError} from '@ebonylead/base/errors.js';
 import {request} from 'undici';
+import {type BurnReport} from './burn-report.js';
 import {
 	type ExplainReport, type StatusReport, type SubmitEvent, type SubmitRequest,
 } from './operators.js';
@@ -47,6 +48,12 @@
 		return body.text();
 	}
 
+	/** Reads the report on service-level burn. */
+	async readReport(): Promise<BurnReport> {
+		const body = await this.#send('read report', 'GET', '/report');
+		return await body.json() as BurnReport;
+	}
+
 	/** Asks why a request goes where it goes. */
 	async explain(method: string, host: string, path: string, headers: readonly string[]): Promise<ExplainReport> {
 		const parameters = new URLSearchParams({method, host, path});
--- a/packages/operators/src/operator-listener.ts
+++ b/packages/operators/src/operator-listener.ts
@@ -16,7 +16,7 @@
 const statusInternal = 500;
 const statusUnavailable = 503;
 
-/** Serves `/submit`, `/status`, `/rules`, `/explain`, `/metrics` and `/ready`. */
+/** Serves `/submit`, `/status`, `/rules`, `/explain`, `/report`, `/metrics` and `/ready`. */
 export class OperatorListener {
 	readonly #handlers: OperatorHandlers;
 	readonly #log: Logger;
@@ -81,6 +81,11 @@
 				return;
 			}
 
+			case 'GET /report': {
+				sendJson(response, await this.#handlers.buildReport());
+				return;
+			}
+
 			case 'GET /metrics': {
 				response.setHeader('content-type', 'text/plain; version=0.0.4');
 				response.end(await this.#handlers.formatMetrics());
@@ -94,7 +99,7 @@
 			}
 
 			default: {
-				response.writeHead(statusNotFound).end('Known are POST /submit and GET /status, /rules, /explain, /metrics, /ready.\n');
+				response.writeHead(statusNotFound).end('Known are POST /submit and GET /status, /rules, /explain, /report, /metrics, /ready.\n');
 			}
 		}
 	}
--- a/packages/operators/src/operators.ts
+++ b/packages/operators/src/operators.ts
@@ -1,6 +1,7 @@
 /** What operators ask of a node, and what it answers. */
 import {type RuleFault} from '@ebonylead/rules/rule-file.js';
 import {type RuleConflict} from '@ebonylead/rules/rule-merge.js';
+import {type BurnReport} from './burn-report.js';
 
 /** A rule file on its way to a node. */
 export type SubmitRequest = {
@@ -77,6 +78,9 @@
 	formatRules(): string;
 	explain(request: {method: string; host: string; path: string; headers: Record<string, string>}): ExplainReport;
 
+	/** Reports how fast the routes spend their error budgets, over all nodes. */
+	buildReport(): Promise<BurnReport>;
+
 	/** Returns the metrics in Prometheus' text format. */
 	formatMetrics(): Promise<string>;
 	isReady(): boolean;
--- a/packages/operators/src/settings.ts
+++ b/packages/operators/src/settings.ts
@@ -29,6 +29,7 @@
 	};
 	readonly peers: ReadonlyArray<{readonly host: string; readonly peerPort: number}>;
 	readonly spreading: 'convergence' | 'bytes';
+	readonly objectives: Readonly<Record<string, number>>;
 	readonly stopTimeout: number;
 	readonly logLevel: LogLevel;
 };
--- a/packages/peers/src/peer-node.ts
+++ b/packages/peers/src/peer-node.ts
@@ -8,7 +8,7 @@
 import {CatchUp} from './catch-up.js';
 import {
 	MemberState, type BeatReply, type BeatRequest, type CensusReply, type CensusRequest, type FetchReply, type FetchRequest, type Member,
-	type ProbeReply, type ProbeRequest, type PushReply, type PushRequest, type Suspect, type SyncReply, type SyncRequest,
+	type ProbeReply, type ProbeRequest, type PushReply, type PushRequest, type RouteCalls, type Suspect, type SyncReply, type SyncRequest,
 } from './generated/peers.js';
 import {Heartbeats, type HeartbeatTimes} from './heartbeats.js';
 import {Membership} from './membership.js';
@@ -40,6 +40,9 @@
 	/** Returns the fingerprints of the requests that run no more, for the census. */
 	readonly listQuarantined: () => string[];
 
+	/** Returns the good and bad calls of the routes that callers used on this node. */
+	readonly listCalls: () => RouteCalls[];
+
 	/** Called with the suspects that other nodes found. */
 	readonly onSuspects: (suspects: readonly Suspect[]) => void;
 
@@ -192,9 +195,10 @@
 	}
 
 	/** Counts the versions in force over all members, this node included. */
-	async takeCensus(): Promise<CensusReply> {
-		const others = await this.#spreader.takeCensusEverywhere(this.#parts.applied.version);
-		return sumCensusReplies([others, this.#countSelf(this.#parts.applied.version)]);
+	async takeCensus(isWithCalls = false): Promise<CensusReply> {
+		const {version} = this.#parts.applied;
+		const others = await this.#spreader.takeCensusEverywhere(version, isWithCalls);
+		return sumCensusReplies([others, this.#countSelf(version, isWithCalls)]);
 	}
 
 	async push(request: PushRequest): Promise<PushReply> {
@@ -280,12 +284,12 @@
 	}
 
 	async census(request: CensusRequest): Promise<CensusReply> {
-		const self = this.#countSelf(request.expectedVersion);
+		const self = this.#countSelf(request.expectedVersion, request.withCalls);
 		if (request.range === undefined) {
 			return self;
 		}
 
-		return sumCensusReplies([self, await this.#spreader.takeCensus(request.range, request)]);
+		return sumCensusReplies([self, await this.#spreader.takeCensus(request.range, {...request, isWithCalls: request.withCalls})]);
 	}
 
 	/** A peer that goes away in between is no error: the caller asks again. */
@@ -297,8 +301,10 @@
 		}
 	}
 
-	#countSelf(expectedVersion: number): CensusReply {
-		const {applied, countControlBytes, listQuarantined} = this.#parts;
+	#countSelf(expectedVersion: number, isWithCalls: boolean): CensusReply {
+		const {
+			applied, countControlBytes, listQuarantined, listCalls,
+		} = this.#parts;
 		const {id, dataCentre} = this.#self.member;
 		return {
 			counts: [{dataCentre, version: applied.version, count: 1}],
@@ -306,6 +312,7 @@
 			unreached: [],
 			controlBytes: countControlBytes(),
 			quarantined: listQuarantined(),
+			calls: isWithCalls ? listCalls() : [],
 		};
 	}
 
--- a/packages/peers/src/spreader.ts
+++ b/packages/peers/src/spreader.ts
@@ -4,7 +4,7 @@
 import {describeError} from '@ebonylead/base/errors.js';
 import {type Logger} from '@ebonylead/base/logs.js';
 import {
-	type CensusReply, type KeyRange, type Member, type PushReply, type Suspect,
+	type CensusReply, type KeyRange, type Member, type PushReply, type RouteCalls, type Suspect,
 } from './generated/peers.js';
 import {type Membership} from './membership.js';
 import {getAddress, type PeerAddress, type PeerTransport} from './peers.js';
@@ -27,6 +27,9 @@
 
 	/** Members below this version are laggards. */
 	readonly expectedVersion: number;
+
+	/** Whether the calls of routes are counted too. */
+	readonly isWithCalls: boolean;
 };
 
 /** What `Spreader` needs. */
@@ -82,10 +85,10 @@
 	}
 
 	/** Counts the versions in force over all data centres, without this node. */
-	async takeCensusEverywhere(expectedVersion: number): Promise<CensusReply> {
+	async takeCensusEverywhere(expectedVersion: number, isWithCalls: boolean): Promise<CensusReply> {
 		const {membership, dataCentre} = this.#parts;
 		const remote = membership.listDataCentres().filter(name => name !== dataCentre);
-		const scope = {ancestors: [], expectedVersion};
+		const scope = {ancestors: [], expectedVersion, isWithCalls};
 		const replies = await Promise.all([
 			this.takeCensus(coverDataCentre(dataCentre), scope),
 			...remote.map(async name => this.#takeCensusOfBranch(this.#buildRemoteBranch(name), scope)),
@@ -133,11 +136,11 @@
 	async #takeCensusOfBranch(branch: Branch, scope: CensusScope): Promise<CensusReply> {
 		const {deployment, selfId, transport} = this.#parts;
 		const request = {
-			deployment, range: branch.range, expectedVersion: scope.expectedVersion, ancestors: [...scope.ancestors, selfId],
+			deployment, range: branch.range, expectedVersion: scope.expectedVersion, withCalls: scope.isWithCalls, ancestors: [...scope.ancestors, selfId],
 		};
 		const reply = await this.#askBranch('census', branch, async (_, address, timeout) => transport.census(address, request, timeout));
 		return reply ?? {
-			counts: [], laggards: [], unreached: branch.candidates.map(known => known.member.id).slice(0, maxNamed), controlBytes: 0, quarantined: [],
+			counts: [], laggards: [], unreached: branch.candidates.map(known => known.member.id).slice(0, maxNamed), controlBytes: 0, quarantined: [], calls: [],
 		};
 	}
 
@@ -180,5 +183,21 @@
 		unreached: replies.flatMap(reply => reply.unreached).slice(0, maxNamed),
 		controlBytes: replies.reduce((sum, reply) => sum + reply.controlBytes, 0),
 		quarantined: [...new Set(replies.flatMap(reply => reply.quarantined))].slice(0, maxNamed),
+		calls: sumCalls(replies.flatMap(reply => reply.calls)),
 	};
 }
+
+/** Adds up the calls of routes, window by window. */
+function sumCalls(calls: readonly RouteCalls[]): RouteCalls[] {
+	const sums = new Map<string, RouteCalls>();
+	for (const {route, good, bad} of calls) {
+		const sum = sums.get(route);
+		sums.set(route, {
+			route,
+			good: good.map((count, index) => count + (sum?.good[index] ?? 0)),
+			bad: bad.map((count, index) => count + (sum?.bad[index] ?? 0)),
+		});
+	}
+
+	return [...sums.values()];
+}
--- a/packages/stand-ins/src/fake-fleet.ts
+++ b/packages/stand-ins/src/fake-fleet.ts
@@ -79,6 +79,7 @@
 				log,
 				countControlBytes: () => 0,
 				listQuarantined: () => [],
+				listCalls: () => [],
 				onSuspects(suspects) {
 					node.suspects.push(...suspects.map(suspect => suspect.fingerprint));
 				},
--- a/packages/stand-ins/src/mesh-harness.ts
+++ b/packages/stand-ins/src/mesh-harness.ts
@@ -6,6 +6,7 @@
 import {SystemClock} from '@ebonylead/base/base.js';
 import {createLogger} from '@ebonylead/base/logs.js';
 import {SeededRandom} from '@ebonylead/base/random.js';
+import {BurnCounters} from '@ebonylead/callers/burn-counters.js';
 import {CallMetrics} from '@ebonylead/callers/call-metrics.js';
 import {CallerListener} from '@ebonylead/callers/callers.js';
 import {MeshPools} from '@ebonylead/callers/mesh-pools.js';
@@ -72,6 +73,7 @@
 			budget: new RetryBudget(),
 			metrics: new CallMetrics(new Registry()),
 			requestIds: new RequestIds(random),
+			burn: new BurnCounters(this.#clock),
 			clock: this.#clock,
 			random,
 			log,
