Freeze a node and race two operators in the demo

Cause: the demo showed kills and outages, but no freeze and no operator races. Change: a node is stopped for 9 s, longer than every timeout, while a version comes; two operators edit different lines, then one line, at once.

--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -9,8 +9,11 @@
 import {renderBurnPage} from '@ebonylead/operators/burn-report.js';
 import {OperatorClient} from '@ebonylead/operators/operator-client.js';
 import {type SubmitEvent} from '@ebonylead/operators/operators.js';
+import {request} from 'undici';
 import {crownStock, yieldAnnex, type Deployment} from './deployments.js';
-import {delay, Fleet, type Place} from './fleet.js';
+import {
+	delay, Fleet, waitUntil, type Place,
+} from './fleet.js';
 import {
 	Load, readRuns, summarizeLoad, type CallShape, type LoadSummary,
 } from './load.js';
@@ -52,6 +55,7 @@
 const readyTimeout = 20_000;
 const drainNotice = 2000;
 const outageTime = 3000;
+const freezeTime = 9000;
 
 /** Limit of the convergence time in milliseconds, from the target. */
 const convergenceLimit = 6000;
@@ -123,6 +127,8 @@
 		await this.#drainUpstream();
 		await this.#killAndReplaceNode();
 		await this.#stopNodeGracefully();
+		await this.#raceOperators();
+		await this.#freezeNode();
 		await this.#failPlatform();
 		await this.#load.stop();
 		await this.#writeReport();
@@ -174,6 +180,49 @@
 		await this.#fleet.waitUntilReady(this.#deployment.places.length, readyTimeout);
 	}
 
+	/** Two operators edit the same file at the same time: other lines merge, the same line clashes. */
+	async #raceOperators(): Promise<void> {
+		const [left, right] = [this.#deployment.places[0]!, this.#deployment.places[3]!];
+		const first = this.#text.replace(/deadline 2s/v, 'deadline 2100ms');
+		const second = `${this.#text}GET race.example/** -> ${left.service} # Demo: a second operator\n`;
+		const base = await this.#readBase(left);
+		const merged = await Promise.all([this.#send(left, first, base), this.#send(right, second, base)]);
+		this.#check(merged.every(events => events.at(-1)?.kind === 'finished'), 'two edits of different lines were not both accepted');
+		const clashBase = await this.#readBase(left);
+		const clash = await Promise.all(['2200ms', '2300ms'].map(async (deadline, index) =>
+			this.#send(index === 0 ? left : right, first.replace('2100ms', deadline), clashBase)));
+		const kinds = clash.map(events => events.at(-1)?.kind ?? '').toSorted();
+		this.#say(`two operators at once: different lines ended as ${merged.map(events => events.at(-1)?.kind).join(' and ')}, the same line as ${kinds.join(' and ')}`);
+		this.#check(kinds.join(' ') === 'conflict finished', `two edits of one line ended as ${kinds.join(' and ')}`);
+	}
+
+	/** A node that was paused for longer than every timeout must not serve the rules it slept with. */
+	async #freezeNode(): Promise<void> {
+		const place = this.#deployment.places[5]!;
+		this.#fleet.signal(`node ${place.id}`, 'SIGSTOP');
+		await delay(freezeTime);
+		const events = await this.#send(this.#deployment.places[0]!, this.#text);
+		const version = events.find(event => event.kind === 'accepted')?.version ?? Number.NaN;
+		this.#fleet.signal(`node ${place.id}`, 'SIGCONT');
+		const served = await this.#readServedVersion(place);
+		this.#say(`node ${place.id} frozen for ${freezeTime} ms; version ${version} came meanwhile, its first answer was under version ${served}`);
+		this.#check(served >= version, `a thawed node answered under version ${served}, not ${version}`);
+		await this.#fleet.waitUntilReady(this.#deployment.places.length, readyTimeout);
+	}
+
+	/** Calls a node until it answers by a rule, and returns the version that it served. */
+	async #readServedVersion(place: Place): Promise<number> {
+		const shape = shapes[this.#deployment.name]![0]!;
+		let version = Number.NaN;
+		await waitUntil(async () => {
+			const answer = await request(`http://127.0.0.1:${this.#fleet.getPorts(place).callers}${shape.path.replace('*', '1')}`, {headers: {host: shape.host}});
+			await answer.body.dump();
+			version = Number(answer.headers['x-ebonylead-version'] ?? Number.NaN);
+			return !Number.isNaN(version);
+		}, readyTimeout);
+		return version;
+	}
+
 	async #failPlatform(): Promise<void> {
 		await this.#fleet.setPlatformFaults({isDown: true});
 		const refused = await this.#send(this.#deployment.places[0]!, this.#text);
@@ -204,13 +253,18 @@
 		this.#check(last.inForce === last.members && last.elapsed < convergenceLimit, `${title}: ${last.inForce} of ${last.members} nodes after ${last.elapsed} ms`);
 	}
 
-	async #send(place: Place, text: string): Promise<SubmitEvent[]> {
+	/** Reads the version that a node enforces, as the base of an edit. */
+	async #readBase(place: Place): Promise<number> {
+		const rules = await new OperatorClient(this.#fleet.getOperatorUrl(place)).readRules();
+		return Number(/base version (\d+)/v.exec(rules)?.[1]);
+	}
+
+	async #send(place: Place, text: string, base?: number): Promise<SubmitEvent[]> {
 		const client = new OperatorClient(this.#fleet.getOperatorUrl(place));
-		const rules = await client.readRules();
-		const base = /base version (\d+)/v.exec(rules)?.[1];
+		const baseVersion = base ?? await this.#readBase(place);
 		const events: SubmitEvent[] = [];
 		for await (const event of client.submit({
-			submissionId: randomUUID(), submitter: 'demo', file: this.#deployment.ruleFile, text, baseVersion: Number(base),
+			submissionId: randomUUID(), submitter: 'demo', file: this.#deployment.ruleFile, text, baseVersion,
 		})) {
 			events.push(event);
 		}
