Fuzz the request path, and cut two long files

Change: random histories of calls through upstreams that die, cut, hang, shed and leave, while rules change; each answer is compared with what ran. Tests of faulty calls and a node's part of the census stand in files of their own.

--- a/packages/bench/src/fuzz.ts
+++ b/packages/bench/src/fuzz.ts
@@ -1,26 +1,57 @@
 /**
- * `npm run fuzz [FIRST_SEED] [COUNT]`: handfuls of nodes over fake links, with
- * random changes and faults, and the invariants checked on every step.
+ * `npm run fuzz [nodes|requests] [FIRST_SEED] [COUNT]`: random histories of
+ * handfuls of nodes in virtual time, or of calls through misbehaving upstreams,
+ * with the promises checked.
  */
 import process from 'node:process';
 import {runFuzzCase} from '@ebonylead/stand-ins/fuzz-case.js';
+import {runRequestFuzzCase} from '@ebonylead/stand-ins/request-fuzz-case.js';
 
-const defaultCount = 1000;
+type FuzzKind = {
+	readonly run: (seed: number) => Promise<string[]>;
+	readonly defaultCount: number;
 
-async function runFuzz(): Promise<void> {
-	const first = Number(process.argv[2] ?? 1);
-	const count = Number(process.argv[3] ?? defaultCount);
+	/** Histories that run at the same time. */
+	readonly width: number;
+};
+
+const kinds: Readonly<Record<string, FuzzKind>> = {
+	nodes: {run: runFuzzCase, defaultCount: 1000, width: 1},
+	requests: {run: runRequestFuzzCase, defaultCount: 200, width: 10},
+};
+
+async function runFuzz(name: string, first: number, count: number): Promise<number> {
+	const kind = kinds[name]!;
+	let next = first;
 	let failures = 0;
-	for (let seed = first; seed < first + count; seed++) {
-		const faults = await runFuzzCase(seed);
-		for (const fault of faults) {
-			failures++;
-			process.stdout.write(`seed ${seed}: ${fault}\n`);
+	await Promise.all(Array.from({length: kind.width}, async () => {
+		while (next < first + count) {
+			const seed = next;
+			next++;
+			for (const fault of await kind.run(seed)) {
+				failures++;
+				process.stdout.write(`${name}, seed ${seed}: ${fault}\n`);
+			}
 		}
+	}));
+	process.stdout.write(`${name}: ${count} seeds from ${first}, ${failures} faults\n`);
+	return failures;
+}
+
+async function runAll(): Promise<void> {
+	const [name, first, count] = process.argv.slice(2);
+	if (name !== undefined && kinds[name] === undefined) {
+		process.stderr.write(`No fuzz is named "${name}"; there are ${Object.keys(kinds).join(', ')}\n`);
+		process.exitCode = 2;
+		return;
+	}
+
+	let failures = 0;
+	for (const chosen of name === undefined ? Object.keys(kinds) : [name]) {
+		failures += await runFuzz(chosen, Number(first ?? 1), Number(count ?? kinds[chosen]!.defaultCount));
 	}
 
-	process.stdout.write(`${count} seeds, ${failures} faults\n`);
 	process.exitCode = failures === 0 ? 0 : 1;
 }
 
-void runFuzz();
+void runAll();
--- /dev/null
+++ b/packages/callers/src/test/faulty-call_test.ts
@@ -0,0 +1,176 @@
+import {text as readText} from 'node:stream/consumers';
+import {DelayRelay} from '@ebonylead/stand-ins/delay-relay.js';
+import {describe, it} from '@ebonylead/stand-ins/describe.js';
+import {type MeshHarness} from '@ebonylead/stand-ins/mesh-harness.js';
+import {
+	answerWith, call, expectAnswer, sendRaw, withHarness, type Answer,
+} from './call-helpers.js';
+
+describe('faulty calls', () => {
+	describe('silent connections', () => {
+		it('are told from slow upstreams', async t => {
+			await withHarness(async harness => {
+				const place = await harness.addPlace((_request, response) => {
+					setTimeout(() => {
+						response.end('slow');
+					}, 1300);
+				});
+				await expectAnswer(t, call(harness, 'GET', '/x'), {body: 'slow'});
+				await expectAnswer(t, call(harness, 'POST', '/x', {body: 'b'}), {body: 'slow'});
+				t.is(place.runs, 2);
+			});
+		});
+
+		it('end a non-idempotent call with an unknown outcome before its deadline', async t => {
+			await withHarness(async harness => {
+				const place = await harness.addPlace(answerWith('good'));
+				const relay = new DelayRelay({
+					listenHost: '127.0.0.10', targetHost: '127.0.0.1', ports: [place.mesh.port], delay: 0,
+				});
+				await relay.start();
+				harness.membership.merge([{...harness.membership.findMember(place.id)!, host: '127.0.0.10', incarnation: 2}], 0);
+				await call(harness, 'POST', '/x', {body: 'b'});
+				t.is(relay.connectionCount, 1);
+				relay.forgetOpenConnections();
+				const answer = await call(harness, 'POST', '/quick', {body: 'b'});
+				t.is(answer.outcome, 'unknown');
+				t.is(answer.status, 502);
+				relay.stop();
+			});
+		});
+
+		it('are taken out with their kin, while new ones work', async t => {
+			await withHarness(async harness => {
+				const place = await harness.addPlace(answerWith('good'));
+				const relay = new DelayRelay({
+					listenHost: '127.0.0.9', targetHost: '127.0.0.1', ports: [place.mesh.port], delay: 0,
+				});
+				await relay.start();
+				harness.membership.merge([{...harness.membership.findMember(place.id)!, host: '127.0.0.9', incarnation: 2}], 0);
+				await call(harness, 'GET', '/x');
+				t.is(relay.connectionCount, 1);
+				relay.forgetOpenConnections();
+				const first = await call(harness, 'GET', '/quick/x');
+				t.not(first.status, 200);
+				const later = await Promise.all(Array.from({length: 4}, async () => call(harness, 'GET', '/x')));
+				t.deepEqual(later.map(answer => answer.status), [200, 200, 200, 200]);
+				relay.stop();
+			});
+		});
+	});
+
+	describe('crashing requests', () => {
+		/** Adds upstreams that die of one body, as a process does: all its connections end and no new one is taken. */
+		async function addMortalPlaces(harness: MeshHarness, count: number): Promise<() => number> {
+			const state = {deaths: 0};
+			for (let index = 0; index < count; index++) {
+				const place = await harness.addPlace((incoming, response) => {
+					void readText(incoming).then(body => {
+						if (body === 'poison') {
+							state.deaths++;
+							place.upstream.close();
+							place.upstream.closeAllConnections();
+						} else {
+							response.end('good');
+						}
+					});
+				});
+			}
+
+			return () => state.deaths;
+		}
+
+		it('end after two upstreams, whoever sends them again and through whichever node', async t => {
+			await withHarness(async harness => {
+				const countDeaths = await addMortalPlaces(harness, 6);
+				const answers: Answer[] = [];
+				for (let round = 0; round < 100; round++) {
+					answers.push(await call(harness, 'POST', '/x', {body: 'poison'}));
+				}
+
+				t.is(countDeaths(), 2);
+				const last = answers.at(-1)!;
+				t.is(last.outcome, 'not-run');
+				t.regex(last.body, /quarantined/v);
+				await expectAnswer(t, call(harness, 'POST', '/x', {body: 'healthy'}), {body: 'good'});
+			});
+		});
+
+		it('end after two upstreams where they are idempotent, before the other nodes have heard', async t => {
+			await withHarness(async harness => {
+				harness.isSpreading = false;
+				const state = {deaths: 0};
+				for (let index = 0; index < 4; index++) {
+					const place = await harness.addPlace(() => {
+						state.deaths++;
+						place.upstream.close();
+						place.upstream.closeAllConnections();
+					});
+				}
+
+				const answer = await call(harness, 'GET', '/x');
+				t.is(state.deaths, 2);
+				t.is(answer.outcome, 'unknown');
+			});
+		});
+
+		it('are told from a connection that an upstream closes and lives', async t => {
+			await withHarness(async harness => {
+				const place = await harness.addPlace(incoming => {
+					incoming.socket.destroy();
+				});
+				await call(harness, 'POST', '/x', {body: 'b'});
+				t.true(place.quarantine.isEmpty);
+			});
+		});
+	});
+
+	describe('bad requests', () => {
+		it('with two lengths are refused', async t => {
+			await withHarness(async harness => {
+				const place = await harness.addPlace(answerWith('x'));
+				const answer = await sendRaw(harness, 'POST /x HTTP/1.1\r\nhost: a.example\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n');
+				t.regex(answer, /^HTTP\/1\.1 400 /v);
+				t.is(place.runs, 0);
+			});
+		});
+
+		it('with a path that can be read in two ways are refused', async t => {
+			await withHarness(async harness => {
+				const place = await harness.addPlace(answerWith('x'));
+				for (const path of ['/a/../b', '/a/%2e%2e/b', '/a%2fb', '/a//b', String.raw`/a\b`]) {
+					const answer = await sendRaw(harness, `GET ${path} HTTP/1.1\r\nhost: a.example\r\nconnection: close\r\n\r\n`);
+					t.regex(answer, /^HTTP\/1\.1 400 /v, path);
+				}
+
+				t.is(place.runs, 0);
+			});
+		});
+
+		it('with headers that are too large are refused', async t => {
+			await withHarness(async harness => {
+				const answer = await sendRaw(harness, `GET /x HTTP/1.1\r\nhost: a.example\r\nx: ${'y'.repeat(20_000)}\r\n\r\n`);
+				t.regex(answer, /^HTTP\/1\.1 431 /v);
+			});
+		});
+
+		it('for an upgrade are refused as not run', async t => {
+			await withHarness(async harness => {
+				const answer = await sendRaw(harness, 'GET /x HTTP/1.1\r\nhost: a.example\r\nconnection: upgrade, close\r\nupgrade: websocket\r\n\r\n');
+				t.regex(answer, /^HTTP\/1\.1 501 /v);
+			});
+		});
+
+		it('can not set headers that only nodes may set', async t => {
+			await withHarness(async harness => {
+				await harness.addPlace((incoming, response) => {
+					response.setHeader('x-ebonylead-outcome', 'not-run');
+					response.end(String(incoming.headers['x-ebonylead-route-slots']));
+				});
+				const answer = await call(harness, 'GET', '/x', {headers: {'x-ebonylead-route-slots': '99'}});
+				t.is(answer.body, 'undefined');
+				t.is(answer.outcome, undefined);
+			});
+		});
+	});
+});
--- /dev/null
+++ b/packages/callers/src/test/request-fuzz_test.ts
@@ -0,0 +1,11 @@
+import {describe, it} from '@ebonylead/stand-ins/describe.js';
+import {runRequestFuzzCase} from '@ebonylead/stand-ins/request-fuzz-case.js';
+
+const seeds = 12;
+
+describe('request fuzz', () => {
+	it(`finds no doubled run, false refusal, short or foreign answer in ${seeds} random histories`, async t => {
+		const faults = await Promise.all(Array.from({length: seeds}, async (_, index) => runRequestFuzzCase(index + 1)));
+		t.deepEqual(faults.flat(), []);
+	});
+});
--- a/packages/peers/src/peer-node.ts
+++ b/packages/peers/src/peer-node.ts
@@ -2,17 +2,17 @@
 import {type Clock, type Random} from '@ebonylead/base/base.js';
 import {describeError} from '@ebonylead/base/errors.js';
 import {type Logger} from '@ebonylead/base/logs.js';
-import {type AppliedVersion} from '@ebonylead/rules/applied-version.js';
 import {type EncodedSnapshot} from '@ebonylead/rules/rules.js';
 import {type SnapshotDelta} from '@ebonylead/rules/snapshot-delta.js';
 import {CatchUp} from './catch-up.js';
 import {
 	MemberState, type BeatReply, type BeatRequest, type CensusReply, type CensusRequest, type FetchReply, type FetchRequest, type Member,
-	type ProbeReply, type ProbeRequest, type PushReply, type PushRequest, type RouteCalls, type Suspect, type SyncReply, type SyncRequest,
+	type ProbeReply, type ProbeRequest, type PushReply, type PushRequest, type Suspect, type SyncReply, type SyncRequest,
 } from './generated/peers.js';
 import {Heartbeats, type HeartbeatTimes} from './heartbeats.js';
 import {Membership} from './membership.js';
 import {Outbox} from './outbox.js';
+import {buildOwnCensus, type CensusSources} from './own-census.js';
 import {
 	formatAddress, getAddress, type PeerAddress, type PeerHandlers, type PeerTransport,
 } from './peers.js';
@@ -23,26 +23,16 @@
 } from './version-messages.js';
 
 /** What `PeerNode` needs. */
-export type PeerNodeParts = {
+export type PeerNodeParts = CensusSources & {
 	readonly deployment: string;
 	readonly member: Member;
 	readonly fanout: number;
 	readonly times: HeartbeatTimes;
-	readonly applied: AppliedVersion;
 	readonly transport: PeerTransport;
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly log: Logger;
 
-	/** Returns the bytes that this node carried for control, for the census. */
-	readonly countControlBytes: () => number;
-
-	/** Returns the fingerprints of the requests that run no more, for the census. */
-	readonly listQuarantined: () => string[];
-
-	/** Returns the good and bad calls of the routes that callers used on this node. */
-	readonly listCalls: () => RouteCalls[];
-
 	/** Called with the suspects that other nodes found. */
 	readonly onSuspects: (suspects: readonly Suspect[]) => void;
 
@@ -198,7 +188,7 @@
 	async takeCensus(isWithCalls = false): Promise<CensusReply> {
 		const {version} = this.#parts.applied;
 		const others = await this.#spreader.takeCensusEverywhere(version, isWithCalls);
-		return sumCensusReplies([others, this.#countSelf(version, isWithCalls)]);
+		return sumCensusReplies([others, buildOwnCensus(this.#self.member, this.#parts, version, isWithCalls)]);
 	}
 
 	async push(request: PushRequest): Promise<PushReply> {
@@ -284,7 +274,7 @@
 	}
 
 	async census(request: CensusRequest): Promise<CensusReply> {
-		const self = this.#countSelf(request.expectedVersion, request.withCalls);
+		const self = buildOwnCensus(this.#self.member, this.#parts, request.expectedVersion, request.withCalls);
 		if (request.range === undefined) {
 			return self;
 		}
@@ -301,21 +291,6 @@
 		}
 	}
 
-	#countSelf(expectedVersion: number, isWithCalls: boolean): CensusReply {
-		const {
-			applied, countControlBytes, listQuarantined, listCalls,
-		} = this.#parts;
-		const {id, dataCentre} = this.#self.member;
-		return {
-			counts: [{dataCentre, version: applied.version, count: 1}],
-			laggards: applied.version < expectedVersion ? [{id, version: applied.version}] : [],
-			unreached: [],
-			controlBytes: countControlBytes(),
-			quarantined: listQuarantined(),
-			calls: isWithCalls ? listCalls() : [],
-		};
-	}
-
 	/** Applies a pushed delta; where it does not fit, fetches what is missing from the sender. */
 	async #receiveDelta(request: PushRequest): Promise<void> {
 		const {applied, log} = this.#parts;
