--- a/packages/bench/src/bench.ts
+++ b/packages/bench/src/bench.ts
@@ -2,6 +2,7 @@
 import process from 'node:process';
 import {measureCapacity} from './bench-capacity.js';
 import {measureDistribution} from './bench-distribution.js';
+import {measureHerd} from './bench-herd.js';
 import {measureOverload} from './bench-overload.js';
 import {measureRequests} from './bench-requests.js';
 import {FigureReport} from './figures.js';
@@ -10,6 +11,7 @@
 	distribution: measureDistribution,
 	requests: measureRequests,
 	overload: measureOverload,
+	herd: measureHerd,
 	capacity: measureCapacity,
 };
 
--- a/packages/peers/src/heartbeats.ts
+++ b/packages/peers/src/heartbeats.ts
@@ -175,6 +175,7 @@
 		const {clock, random, times} = this.#parts;
 		while (!signal.aborted) {
 			await clock.sleep(times.randomPeriod * (0.5 + random.next()), signal);
+			this.#parts.membership.removeExpired(clock.now());
 			const member = this.#pickRandom();
 			if (member && !signal.aborted) {
 				await this.#beat(member);
--- a/packages/peers/src/test/peer-node_test.ts
+++ b/packages/peers/src/test/peer-node_test.ts
@@ -6,6 +6,7 @@
 import {acceptVersion} from '@ebonylead/stand-ins/fuzz-case.js';
 import {FakeFleet, type FakeNode} from '@ebonylead/stand-ins/fake-fleet.js';
 import {MemberState, type PushReply} from '../generated/peers.js';
+import {tombstoneTime} from '../membership.js';
 import {getAddress} from '../peers.js';
 
 const twoDataCentres = ['a', 'a', 'a', 'a', 'b', 'b', 'b', 'b'];
@@ -185,6 +186,17 @@
 			fleet.stop();
 		});
 
+		it('forgets a dead member after two hours', async t => {
+			const fleet = await startFleet(15, ['a', 'a', 'a']);
+			fleet.kill(fleet.nodes[1]!);
+			await fleet.clock.advance(20_000);
+			t.deepEqual(new Set(listStates(fleet, 'n1')), new Set([MemberState.DEAD]));
+			fleet.clock.jump(tombstoneTime);
+			await fleet.clock.advance(20_000);
+			t.deepEqual(new Set(listStates(fleet, 'n1')), new Set([undefined]));
+			fleet.stop();
+		});
+
 		it('does not hold a member for dead because of one broken link', async t => {
 			const fleet = await startFleet(7);
 			const [left, right] = [fleet.nodes[0]!.address, fleet.nodes[1]!.address];
