--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -161,7 +161,15 @@
 			log: this.#createLog('operators'),
 		});
 		this.#operators = new OperatorListener(new NodeOperations({
-			submissions, applied, chooser, peers: this.#peers, watcher: this.#watcher, registry: this.#registry, isReady: () => this.#checkReady(), transport: this.#transport, objectives: settings.objectives,
+			submissions,
+			applied,
+			chooser,
+			peers: this.#peers,
+			watcher: this.#watcher,
+			registry: this.#registry,
+			isReady: () => this.#checkReady(),
+			transport: this.#transport,
+			objectives: settings.objectives,
 		}), this.#createLog('operators'));
 		registerNodeMetrics(this.#registry, {
 			applied, membership: this.#peers.membership, transport: this.#transport, link: this.#link, watcher: this.#watcher, isReady: () => this.#readiness.isReady,
--- a/packages/operators/src/burn-report.ts
+++ b/packages/operators/src/burn-report.ts
@@ -95,11 +95,18 @@
 export function renderBurnPage(report: BurnReport): string {
 	const heads = report.windows.map(window => `<th>${escapeHtml(window)}</th>`).join('');
 	const rows = report.rows.map(row => renderRow(row)).join('\n');
+	const missing = report.unreached.length === 0 ? '' : ` ${report.unreached.length} nodes did not answer.`;
 	return `<!doctype html>
 <html lang="en"><meta charset="utf-8"><title>Service-level burn</title>
-<style>body{font:14px sans-serif;margin:2em}table{border-collapse:collapse}td,th{padding:.3em .6em;border-bottom:1px solid #ccc;text-align:left;vertical-align:top}small{color:#555}</style>
+<style>
+body{font:14px sans-serif;margin:2em}
+table{border-collapse:collapse}
+td,th{padding:.3em .6em;border-bottom:1px solid #ccc;text-align:left;vertical-align:top}
+small{color:#555}
+</style>
 <h1>Service-level burn</h1>
-<p>Version ${report.version}. A bar is the speed at which a route spends its error budget; the line marks 1x, which spends it exactly.${report.unreached.length === 0 ? '' : ` ${report.unreached.length} nodes did not answer.`}</p>
+<p>Version ${report.version}. A bar is the speed at which a route spends its error budget;
+the line marks 1x, which spends it exactly.${missing}</p>
 <table><tr><th>Route</th>${heads}<th>Budget left</th></tr>
 ${rows}
 </table></html>
@@ -109,14 +116,21 @@
 function renderRow(row: BurnRow): string {
 	const bars = row.burnRates.map((rate, index) => `<td>${renderBar(rate)}<br><small>${rate.toFixed(1)}x of ${row.calls[index]} calls</small></td>`).join('');
 	const asker = row.askedBy === '' ? 'rule no longer in force' : `asked by ${row.askedBy}, since version ${row.since}`;
-	return `<tr><td>${escapeHtml(row.route)}<br><small>${escapeHtml(row.services.join(', '))}; objective ${(row.objective * 100).toFixed(2)}%; ${escapeHtml(asker)}</small></td>${bars}<td>${(row.budgetLeft * 100).toFixed(0)}%</td></tr>`;
+	const details = `${row.services.join(', ')}; objective ${(row.objective * 100).toFixed(2)}%; ${asker}`;
+	return `<tr><td>${escapeHtml(row.route)}<br><small>${escapeHtml(details)}</small></td>${bars}<td>${(row.budgetLeft * 100).toFixed(0)}%</td></tr>`;
 }
 
 function renderBar(rate: number): string {
 	const width = Math.min(1, rate / fullBarRate) * barWidth;
 	const mark = barWidth / fullBarRate;
 	const colour = rate > 1 ? '#c0392b' : '#27ae60';
-	return `<svg width="${barWidth}" height="${barHeight}" role="img" aria-label="${rate.toFixed(1)}x"><rect width="${barWidth}" height="${barHeight}" fill="#eee"/><rect width="${width.toFixed(1)}" height="${barHeight}" fill="${colour}"/><line x1="${mark}" x2="${mark}" y1="0" y2="${barHeight}" stroke="#000"/></svg>`;
+	return [
+		`<svg width="${barWidth}" height="${barHeight}" role="img" aria-label="${rate.toFixed(1)}x">`,
+		`<rect width="${barWidth}" height="${barHeight}" fill="#eee"/>`,
+		`<rect width="${width.toFixed(1)}" height="${barHeight}" fill="${colour}"/>`,
+		`<line x1="${mark}" x2="${mark}" y1="0" y2="${barHeight}" stroke="#000"/>`,
+		'</svg>',
+	].join('');
 }
 
 function escapeHtml(text: string): string {
--- a/xo.config.js
+++ b/xo.config.js
@@ -9,6 +9,8 @@
 			// Tests and scripts use the tools of the workspace root.
 			'import-x/no-extraneous-dependencies': 'off',
 			'n/no-extraneous-import': 'off',
+			// Tests stand in nested blocks, as the users want them.
+			'max-nested-callbacks': 'off',
 			// Test files are named after what they test: `NAME_test.ts`.
 			'unicorn/filename-case': 'off',
 			// `describe.ts` wraps ava and is no test file.
