Open listeners from one module of the base package

Cause: callers and operators took their way to listen from the module of announcements, where nobody would look for it. Conclusion: no change of behaviour.

--- a/packages/callers/src/callers.ts
+++ b/packages/callers/src/callers.ts
@@ -9,7 +9,7 @@
 import {type Clock, type Random} from '@ebonylead/base/base.js';
 import {type Logger} from '@ebonylead/base/logs.js';
 import {type AppliedVersion} from '@ebonylead/rules/applied-version.js';
-import {listenOn} from '@ebonylead/upstreams/announcement-listener.js';
+import {listenOn} from '@ebonylead/base/listening.js';
 import {sendRefusal} from '@ebonylead/upstreams/refusals.js';
 import {outcomes, type Refusal} from '@ebonylead/upstreams/upstreams.js';
 import {type BurnCounters} from './burn-counters.js';
--- a/packages/operators/src/operator-listener.ts
+++ b/packages/operators/src/operator-listener.ts
@@ -5,7 +5,7 @@
 import {json} from 'node:stream/consumers';
 import {describeError} from '@ebonylead/base/errors.js';
 import {type Logger} from '@ebonylead/base/logs.js';
-import {listenOn} from '@ebonylead/upstreams/announcement-listener.js';
+import {listenOn} from '@ebonylead/base/listening.js';
 import {type OperatorHandlers, type SubmitRequest} from './operators.js';
 
 /** Largest submission in bytes. */
--- a/packages/upstreams/src/announcement-listener.ts
+++ b/packages/upstreams/src/announcement-listener.ts
@@ -3,7 +3,8 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {json} from 'node:stream/consumers';
-import {StepError, describeError} from '@ebonylead/base/errors.js';
+import {describeError} from '@ebonylead/base/errors.js';
+import {listenOn} from '@ebonylead/base/listening.js';
 import {type UpstreamLink} from './upstream-link.js';
 import {type UpstreamAnnouncement} from './upstreams.js';
 
@@ -63,16 +64,6 @@
 	}
 }
 
-/** Listens on a port, or says which one can't be used. */
-export async function listenOn(server: Server, host: string, port: number, step: string): Promise<void> {
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', error => {
-			reject(new StepError(step, `${host}:${port}`, describeError(error), {cause: error}));
-		});
-		server.listen(port, host, resolve);
-	});
-}
-
 /** Returns the announcement, or what is wrong with it. */
 function findAnnouncementFault(value: unknown): UpstreamAnnouncement | string {
 	if (typeof value !== 'object' || value === null) {
--- a/packages/upstreams/src/mesh-listener.ts
+++ b/packages/upstreams/src/mesh-listener.ts
@@ -5,7 +5,7 @@
 import {type AddressInfo} from 'node:net';
 import {type Clock} from '@ebonylead/base/base.js';
 import {type Logger} from '@ebonylead/base/logs.js';
-import {listenOn} from './announcement-listener.js';
+import {listenOn} from '@ebonylead/base/listening.js';
 import {type CrashDetector} from './crash-detector.js';
 import {MeshCall} from './mesh-call.js';
 import {type Quarantine} from './quarantine.js';
