--- a/packages/callers/src/call.ts
+++ b/packages/callers/src/call.ts
@@ -1,5 +1,4 @@
 /** One call, from its arrival to its end, with all its tries. */
-import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {describeError} from '@ebonylead/base/errors.js';
 import {type Member} from '@ebonylead/peers/generated/peers.js';
@@ -9,27 +8,29 @@
 import {
 	copyRequestHeaders, forwardRequest, ProgressTimeoutError, type AnswerHeaders, type ForwardResult,
 } from '@ebonylead/upstreams/forward.js';
-import {hasBody, readCount, readHeader} from '@ebonylead/upstreams/request-headers.js';
-import {sendRefusal} from '@ebonylead/upstreams/refusals.js';
+import {readBody, type RequestBody} from '@ebonylead/upstreams/request-body.js';
+import {readCount} from '@ebonylead/upstreams/request-headers.js';
 import {meshHeaders, outcomes, type Refusal} from '@ebonylead/upstreams/upstreams.js';
 import {callResults, type CallResult} from './call-metrics.js';
 import {type CallerParts} from './callers.js';
-import {readRequestTarget, type RequestTarget} from './request-target.js';
+import {type RequestTarget} from './request-target.js';
 
-/** Bodies up to this size in bytes are kept, so that a retry can send them again. */
-const maxKeptBody = 64 * 1024;
+/** Most upstreams that one call may be sent to, where its rule does not say. */
+const defaultMaxTries = 3;
 
-/** Most tries of one call. */
-const maxTries = 3;
+/** Most nodes that one call asks for a slot; a refusal costs them little. */
+const maxNodesAsked = 4;
+
+/** Shortest time left in milliseconds for which another try is worth it: two hops and the fastest answers take about that. */
+const minTimeForTry = 10;
 
 /** Upstreams that may die of one call before it is tried no more. */
 const maxCrashes = 2;
 
-/** Share of the deadline in which the other node must show a sign of life; it sends them more often. */
+/** Bounds of the time in milliseconds in which the other node must show a sign of life; it sends one each 100 ms. */
+const maxProgressTimeout = 800;
+const minProgressTimeout = 300;
 const progressShare = 0.5;
-
-/** A stall of this process for less, in milliseconds, must not make a connection look silent. */
-const minProgressTimeout = 200;
 const defaultRetryAfter = 200;
 const percentTotal = 100;
 
@@ -39,7 +40,7 @@
 const statusBadGateway = 502;
 const statusUnavailable = 503;
 const statusTimeout = 504;
-const retryableStatuses: ReadonlySet<number> = new Set([502, 503, 504]);
+const retryableStatuses: ReadonlySet<number> = new Set([500, 502, 503, 504]);
 
 /** What a try leads to. */
 type NextStep = 'done' | 'retry' | Refusal;
@@ -59,6 +60,9 @@
 	#result: CallResult = callResults.notRun;
 	#mayHaveRun = false;
 
+	/** Upstreams that may have run this call. */
+	#runs = 0;
+
 	/** Upstreams that died while this call was in flight there. */
 	#crashes = 0;
 	#lastRefusal: Refusal = {status: statusUnavailable, outcome: outcomes.notRun, reason: 'no try was made'};
@@ -73,7 +77,7 @@
 
 	/** Runs the call to its end. */
 	async run(): Promise<void> {
-		const target = readRequestTarget(this.#request.url ?? '', this.#request.headers.host);
+		const target = this.#parts.protocol.readTarget(this.#request);
 		await target.caseOf({
 			Left: async reason => {
 				this.#refuse({status: statusBadRequest, outcome: outcomes.notRun, reason});
@@ -90,7 +94,7 @@
 		}
 
 		this.#service = this.#pickService(route);
-		this.#deadline = Math.min(route.rule.deadline, readCount(this.#request, meshHeaders.deadline) ?? route.rule.deadline);
+		this.#deadline = Math.min(route.rule.deadline, this.#parts.protocol.readDeadline(this.#request) ?? route.rule.deadline);
 		const timer = setTimeout(() => {
 			this.#cancellation.cancel(new Error('the deadline passed'));
 		}, this.#deadline);
@@ -112,8 +116,8 @@
 		}
 
 		this.#headers = copyRequestHeaders(this.#request.headers);
-		this.#headers[meshHeaders.requestId] ??= this.#parts.requestIds.create();
-		this.#headers[meshHeaders.caller] = readHeader(this.#request, meshHeaders.caller) ?? this.#request.socket.remoteAddress ?? '';
+		this.#headers[meshHeaders.requestId] ??= this.#parts.protocol.readRequestId(this.#request) ?? this.#parts.requestIds.create();
+		this.#headers[meshHeaders.caller] = this.#parts.protocol.readCaller(this.#request);
 		this.#parts.budget.recordCall(this.#service);
 		const inheritedAttempt = readCount(this.#request, meshHeaders.attempt) ?? 1;
 		for (let number = 1; ; number++) {
@@ -122,8 +126,7 @@
 				return;
 			}
 
-			const isLast = number >= maxTries || body === this.#request || !this.#mayRetry(inheritedAttempt);
-			if (step === 'retry' && !isLast) {
+			if (step === 'retry' && body !== this.#request && this.#mayTryAgain(route, number, inheritedAttempt)) {
 				this.#parts.metrics.recordRetry(this.#service);
 				continue;
 			}
@@ -133,12 +136,29 @@
 		}
 	}
 
-	/** A call below a retried one does not retry itself, so that retries don't multiply down a chain. */
-	#mayRetry(inheritedAttempt: number): boolean {
-		return inheritedAttempt === 1 && !this.#cancellation.isCancelled && this.#parts.budget.takeRetry(this.#service);
+	/**
+	 * Says whether another node may be asked. Only a call that may have run draws
+	 * on the budget, as a refusal by a node puts no load on an upstream. A call
+	 * below a retried one does not run again itself, so that retries don't
+	 * multiply down a chain.
+	 */
+	#mayTryAgain(route: Route, asked: number, inheritedAttempt: number): boolean {
+		if (this.#cancellation.isCancelled || this.#timeLeft < minTimeForTry || asked >= maxNodesAsked) {
+			return false;
+		}
+
+		return this.#runs === 0 || (inheritedAttempt === 1 && this.#mayRunAgain(route) && this.#parts.budget.takeRetry(this.#service));
+	}
+
+	#mayRunAgain(route: Route): boolean {
+		return route.rule.idempotent && this.#runs < (route.rule.maxTries ?? defaultMaxTries);
+	}
+
+	get #timeLeft(): number {
+		return this.#deadline - (this.#parts.clock.now() - this.#startedAt);
 	}
 
-	async #runTry(route: Route, body: Buffer | IncomingMessage | undefined, attempt: number): Promise<NextStep> {
+	async #runTry(route: Route, body: RequestBody, attempt: number): Promise<NextStep> {
 		const {chooser, pools} = this.#parts;
 		const member = chooser.choose(this.#service, route.rule.prefer, this.#tried);
 		if (member === undefined) {
@@ -162,7 +182,7 @@
 			body,
 			response: this.#response,
 			cancellation: this.#cancellation,
-			progressTimeout: Math.max(minProgressTimeout, this.#deadline * progressShare),
+			progressTimeout: Math.max(minProgressTimeout, Math.min(maxProgressTimeout, this.#deadline * progressShare)),
 			isWanted: (status, headers) => this.#isWanted(route, status, headers),
 			buildExtraHeaders: () => ({[meshHeaders.version]: String(this.#version)}),
 			isMeshHeaderDropped: false,
@@ -177,7 +197,8 @@
 			return false;
 		}
 
-		return !(route.rule.idempotent && retryableStatuses.has(status) && this.#tried.size < maxTries);
+		const isRetryWorthIt = this.#runs + 1 < (route.rule.maxTries ?? defaultMaxTries) && this.#timeLeft > minTimeForTry;
+		return !(route.rule.idempotent && retryableStatuses.has(status) && isRetryWorthIt);
 	}
 
 	#decide(route: Route, member: Member, result: ForwardResult): NextStep {
@@ -193,6 +214,11 @@
 				return 'done';
 			}
 
+			case 'not-run': {
+				this.#lastRefusal = {status: statusUnavailable, outcome: outcomes.notRun, reason: result.reason};
+				return 'retry';
+			}
+
 			case 'unsent': {
 				this.#lastRefusal = {
 					status: statusUnavailable, outcome: outcomes.notRun, reason: `"${member.id}" can not be reached: ${describeError(result.error)}`, retryAfter: defaultRetryAfter,
@@ -202,7 +228,7 @@
 
 			case 'rejected': {
 				this.#lastRefusal = readRefusal(result.status, result.headers);
-				this.#mayHaveRun ||= this.#lastRefusal.outcome === outcomes.unknown;
+				this.#recordRun(this.#lastRefusal.outcome === outcomes.unknown);
 				this.#crashes = Math.max(this.#crashes, Number(result.headers[meshHeaders.suspect] ?? 0));
 				if (this.#crashes >= maxCrashes) {
 					return this.#lastRefusal;
@@ -212,7 +238,7 @@
 			}
 
 			case 'unanswered': {
-				this.#mayHaveRun = true;
+				this.#recordRun(true);
 				const status = this.#cancellation.isCancelled ? statusTimeout : statusBadGateway;
 				this.#lastRefusal = {status, outcome: outcomes.unknown, reason: `"${member.id}" did not answer: ${describeError(result.error)}`};
 				return route.rule.idempotent ? 'retry' : this.#lastRefusal;
@@ -220,6 +246,11 @@
 		}
 	}
 
+	#recordRun(mayHaveRun: boolean): void {
+		this.#runs += mayHaveRun ? 1 : 0;
+		this.#mayHaveRun ||= mayHaveRun;
+	}
+
 	#recordEnd(member: Member, origin: string, startedAt: number, result: ForwardResult): void {
 		const {chooser, pools} = this.#parts;
 		const isFailure = result.kind === 'unsent' || result.kind === 'unanswered' || result.kind === 'cut';
@@ -242,8 +273,16 @@
 	/** Sets the headers of a try. Few headers, as each costs time at both ends: defaults are left out. */
 	#buildHeaders(route: Route, attempt: number): Record<string, string | string[]> {
 		const headers = this.#headers;
-		const left = Math.max(1, Math.floor(this.#deadline - (this.#parts.clock.now() - this.#startedAt)));
+		const left = Math.max(1, Math.floor(this.#timeLeft));
 		headers[meshHeaders.deadline] = String(left);
+		if (route.rule.objective !== undefined) {
+			headers[meshHeaders.objective] = String(Math.max(1, Math.floor(route.rule.objective - (this.#parts.clock.now() - this.#startedAt))));
+		}
+
+		if (route.rule.priority !== undefined) {
+			headers[meshHeaders.priority] = String(route.rule.priority);
+		}
+
 		if (attempt > 1) {
 			headers[meshHeaders.attempt] = String(attempt);
 		}
@@ -277,27 +316,13 @@
 		return split.at(-1)!.service;
 	}
 
-	/** Reads a small body whole; a large one, or one of unknown length, is streamed and never sent twice. */
-	async #readBody(): Promise<Buffer | IncomingMessage | undefined> {
-		if (!hasBody(this.#request)) {
-			return undefined;
-		}
-
-		const length = Number(this.#request.headers['content-length'] ?? Number.POSITIVE_INFINITY);
-		if (length > maxKeptBody) {
-			return this.#request;
-		}
-
-		const chunks: Buffer[] = [];
+	async #readBody(): Promise<RequestBody> {
 		try {
-			for await (const chunk of this.#request) {
-				chunks.push(chunk as Buffer);
-			}
+			return await readBody(this.#request);
 		} catch (error) {
 			this.#cancellation.cancel(error as Error);
+			return undefined;
 		}
-
-		return Buffer.concat(chunks);
 	}
 
 	/** Counts the call against the route's objective; a caller that left says nothing about the service. */
@@ -316,7 +341,7 @@
 	#refuse(refusal: Refusal): void {
 		const outcome = this.#mayHaveRun ? outcomes.unknown : refusal.outcome;
 		this.#result = outcome === outcomes.notRun ? callResults.notRun : callResults.unknown;
-		sendRefusal(this.#response, {...refusal, outcome});
+		this.#parts.protocol.sendRefusal(this.#response, {...refusal, outcome});
 		this.#request.resume();
 	}
 
--- a/packages/callers/src/callers.ts
+++ b/packages/callers/src/callers.ts
@@ -8,11 +8,12 @@
 import {type AddressInfo} from 'node:net';
 import {type Clock, type Random} from '@ebonylead/base/base.js';
 import {type Logger} from '@ebonylead/base/logs.js';
+import {type CallerLimits} from '@ebonylead/rules/rule-source.js';
 import {type AppliedVersion} from '@ebonylead/rules/applied-version.js';
 import {listenOn} from '@ebonylead/base/listening.js';
-import {sendRefusal} from '@ebonylead/upstreams/refusals.js';
 import {outcomes, type Refusal} from '@ebonylead/upstreams/upstreams.js';
 import {type BurnCounters} from './burn-counters.js';
+import {type CallerProtocol} from './caller-protocol.js';
 import {type CallMetrics} from './call-metrics.js';
 import {Call} from './call.js';
 import {type MeshPools} from './mesh-pools.js';
@@ -25,6 +26,7 @@
 	readonly applied: AppliedVersion;
 	readonly chooser: TargetChooser;
 	readonly pools: MeshPools;
+	readonly protocol: CallerProtocol;
 	readonly budget: RetryBudget;
 	readonly metrics: CallMetrics;
 	readonly clock: Clock;
@@ -39,6 +41,7 @@
 
 const keepAliveTime = 30_000;
 const maxHeaderBytes = 16 * 1024;
+const statusTooLarge = 413;
 const statusUnavailable = 503;
 const statusNotImplemented = 501;
 const startingRetryAfter = 500;
@@ -48,6 +51,9 @@
 	readonly #parts: CallerParts;
 	readonly #server: Server;
 	#open = 0;
+	#limits: CallerLimits | undefined;
+	#isClosing = false;
+	#isRefusing = false;
 
 	constructor(parts: CallerParts) {
 		this.#parts = parts;
@@ -75,6 +81,23 @@
 		await listenOn(this.#server, host, port, 'listen for callers');
 	}
 
+	/** Puts limits of callers' connections in force, for connections that are open as well. */
+	setLimits(limits: CallerLimits): void {
+		this.#limits = limits;
+		this.#server.keepAliveTimeout = limits.idleTime;
+		this.#server.headersTimeout = limits.headerTime;
+	}
+
+	/** Still takes calls, but ends each connection after its next answer. */
+	startClosing(): void {
+		this.#isClosing = true;
+	}
+
+	/** Refuses new calls; those in flight go on. */
+	refuseNew(): void {
+		this.#isRefusing = true;
+	}
+
 	/** Takes no new connections, and closes the idle ones. */
 	close(): void {
 		this.#server.close();
@@ -88,10 +111,14 @@
 
 	async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		this.#open++;
+		if (this.#isClosing) {
+			response.shouldKeepAlive = false;
+		}
+
 		try {
 			const refusal = this.#findRefusal(request);
 			if (refusal) {
-				sendRefusal(response, refusal);
+				this.#parts.protocol.sendRefusal(response, refusal);
 				request.resume();
 				return;
 			}
@@ -103,12 +130,23 @@
 	}
 
 	#findRefusal(request: IncomingMessage): Refusal | undefined {
+		if (this.#isRefusing) {
+			return {
+				status: statusUnavailable, outcome: outcomes.notRun, reason: 'this node stops', retryAfter: startingRetryAfter,
+			};
+		}
+
 		if (!this.#parts.isReady()) {
 			return {
 				status: statusUnavailable, outcome: outcomes.notRun, reason: 'this node does not know yet which rules are in force', retryAfter: startingRetryAfter,
 			};
 		}
 
+		const length = Number(request.headers['content-length'] ?? 0);
+		if (this.#limits && length > this.#limits.bodyBytes) {
+			return {status: statusTooLarge, outcome: outcomes.notRun, reason: `the body has ${length} bytes; at most ${this.#limits.bodyBytes} are taken`};
+		}
+
 		if (request.headers.upgrade !== undefined) {
 			return {status: statusNotImplemented, outcome: outcomes.notRun, reason: 'protocol upgrades are not supported; call without the header "upgrade"'};
 		}
--- a/packages/callers/src/target-chooser.ts
+++ b/packages/callers/src/target-chooser.ts
@@ -39,7 +39,10 @@
 const slowStartFloor = 0.1;
 
 /** Load from which calls may leave the preferred data centre. */
-const spillLoad = 1;
+const spillLoad = 0.9;
+
+/** How much less loaded, in calls for each slot, an upstream of another data centre must be: bytes between them cost. */
+const spillMargin = 0.15;
 const forgetAfter = 600_000;
 const sweepEvery = 10_000;
 
@@ -75,7 +78,7 @@
 			return far ?? near;
 		}
 
-		return this.#estimateLoad(far) < this.#estimateLoad(near) / 2 ? far : near;
+		return this.#estimateLoad(far) + spillMargin < this.#estimateLoad(near) ? far : near;
 	}
 
 	/** Returns why an upstream would not be chosen now. */
--- a/packages/node/src/head-watcher.ts
+++ b/packages/node/src/head-watcher.ts
@@ -4,7 +4,7 @@
 import {type Logger} from '@ebonylead/base/logs.js';
 import {type Membership} from '@ebonylead/peers/membership.js';
 import {rankLeaders} from '@ebonylead/peers/tree.js';
-import {type VersionStore} from '@ebonylead/platform/versions.js';
+import {type VersionStore} from '@ebonylead/store/versions.js';
 import {type AppliedVersion} from '@ebonylead/rules/applied-version.js';
 import {type EncodedSnapshot} from '@ebonylead/rules/rules.js';
 import {computeDelta, type SnapshotDelta} from '@ebonylead/rules/snapshot-delta.js';
--- /dev/null
+++ b/packages/node/src/member-directory.ts
@@ -0,0 +1,200 @@
+/** Keeps the membership in rows of the store: one row for each node. */
+import {type Clock} from '@ebonylead/base/base.js';
+import {describeError} from '@ebonylead/base/errors.js';
+import {type Logger} from '@ebonylead/base/logs.js';
+import {MemberState, type Member} from '@ebonylead/peers/generated/peers.js';
+import {type Membership} from '@ebonylead/peers/membership.js';
+import {type RowStore, type SharedRow} from '@ebonylead/store/row-store.js';
+import {TableFollower} from '@ebonylead/store/table-follower.js';
+
+/** What `MemberDirectory` needs. */
+export type MemberDirectoryParts = {
+	readonly store: RowStore;
+	readonly membership: Membership;
+	readonly clock: Clock;
+	readonly log: Logger;
+
+	/** Record of this node at its start. */
+	readonly self: Member;
+};
+
+/** The parts of a record that a row holds; its incarnation is the row's revision. */
+type MemberRow = Omit<Member, 'id' | 'incarnation'>;
+
+/** The table of members. */
+export const memberTable = 'members';
+
+/** First and longest pause after a failed write in milliseconds. */
+const minPause = 50;
+const maxPause = 800;
+
+/**
+ * Writes the record of this node when it changes, and merges those of others.
+ *
+ * Each write is on the condition of the revision that this node knows, so that
+ * a write whose answer was lost can't undo a later one. A record's incarnation
+ * is the revision of its row, which grows with each write.
+ */
+export class MemberDirectory {
+	readonly #parts: MemberDirectoryParts;
+	readonly #follower: TableFollower;
+	#self: Member;
+	#written: Member | undefined;
+	#revision = 0;
+	readonly #settled: Array<() => void> = [];
+	#wake: (() => void) | undefined;
+
+	constructor(parts: MemberDirectoryParts) {
+		this.#parts = parts;
+		this.#self = parts.self;
+		this.#follower = new TableFollower({
+			store: parts.store,
+			table: memberTable,
+			clock: parts.clock,
+			log: parts.log,
+			onRows: (rows, isComplete) => {
+				this.#mergeRows(rows, isComplete);
+			},
+		});
+	}
+
+	/** The record of this node as it should be. */
+	get self(): Member {
+		return this.#self;
+	}
+
+	/** Whether the table was read at least once. */
+	get isKnown(): boolean {
+		return this.#follower.heardAt > 0;
+	}
+
+	/** Whether the store does not answer at present. */
+	get isLost(): boolean {
+		return this.#follower.isLost;
+	}
+
+	/** Changes the record of this node; resolves when the row says so, or when the limit in milliseconds has passed. */
+	async change(change: Partial<Member>, limit: number): Promise<void> {
+		this.#self = {...this.#self, ...change};
+		this.#mergeSelf();
+		const done = new Promise<void>(resolve => {
+			this.#settled.push(resolve);
+		});
+		this.#wake?.();
+		const controller = new AbortController();
+		await Promise.race([done, this.#parts.clock.sleep(limit, controller.signal)]);
+		controller.abort();
+	}
+
+	/** Follows the table and writes the row of this node until the signal is aborted. */
+	async run(signal: AbortSignal): Promise<void> {
+		await Promise.all([this.#follower.run(signal), this.#writeChanges(signal)]);
+	}
+
+	async #writeChanges(signal: AbortSignal): Promise<void> {
+		signal.addEventListener('abort', () => {
+			this.#wake?.();
+		});
+		let failures = 0;
+		while (!signal.aborted) {
+			if (this.#written === this.#self) {
+				await new Promise<void>(resolve => {
+					this.#wake = resolve;
+				});
+				continue;
+			}
+
+			try {
+				await this.#writeOnce();
+				failures = 0;
+			} catch (error) {
+				failures++;
+				this.#parts.log.warn({failures, reason: describeError(error)}, 'Writing the record of this node failed');
+				await this.#parts.clock.sleep(Math.min(maxPause, minPause * (2 ** failures)), signal);
+			}
+		}
+	}
+
+	async #writeOnce(): Promise<void> {
+		const wanted = this.#self;
+		const value = wanted.state === MemberState.LEFT ? undefined : encodeMember(wanted);
+		const outcome = await this.#parts.store.writeRow(memberTable, wanted.id, value, this.#revision);
+		this.#revision = outcome.revision;
+		if (outcome.kind === 'conflict') {
+			return;
+		}
+
+		this.#written = wanted;
+		this.#parts.log.info({service: wanted.service, upstreamState: wanted.upstreamState, revision: outcome.revision}, 'Wrote the record of this node');
+		this.#mergeSelf();
+		if (this.#written === this.#self) {
+			for (const resolve of this.#settled.splice(0)) {
+				resolve();
+			}
+		}
+	}
+
+	/** The node beside this entry is always known, whatever the store says. */
+	#mergeSelf(): void {
+		const known = this.#parts.membership.findMember(this.#self.id);
+		const incarnation = Math.max(this.#revision, (known?.incarnation ?? 0) + 1);
+		this.#parts.membership.merge([{...this.#self, incarnation}], this.#parts.clock.now());
+	}
+
+	#mergeRows(rows: readonly SharedRow[], isComplete: boolean): void {
+		const {membership, clock, log} = this.#parts;
+		const records: Member[] = [];
+		for (const row of rows) {
+			if (row.key === this.#self.id) {
+				continue;
+			}
+
+			const record = decodeMember(row, membership.findMember(row.key));
+			if (record === undefined) {
+				log.warn({key: row.key, revision: row.revision}, 'The record of a member is unreadable; keeping what was known');
+			} else {
+				records.push(record);
+			}
+		}
+
+		if (isComplete) {
+			records.push(...this.#listMissing(rows));
+		}
+
+		for (const record of membership.merge(records, clock.now())) {
+			log.info({
+				member: record.id, service: record.service, upstreamState: record.upstreamState, state: record.state, revision: record.incarnation,
+			}, 'A member changed');
+		}
+	}
+
+	/** Members whose rows were removed while the feed was not followed. */
+	#listMissing(rows: readonly SharedRow[]): Member[] {
+		const keys = new Set(rows.map(row => row.key));
+		return this.#parts.membership.listAll()
+			.filter(member => member.id !== this.#self.id && member.state === MemberState.ALIVE && !keys.has(member.id))
+			.map(member => ({...member, state: MemberState.LEFT}));
+	}
+}
+
+/** Encodes a record as the content of its row. */
+export function encodeMember(member: Member): string {
+	const {id: _id, incarnation: _incarnation, ...row} = member;
+	return JSON.stringify(row);
+}
+
+/** Decodes a row; undefined where it is no record. */
+export function decodeMember(row: SharedRow, known: Member | undefined): Member | undefined {
+	if (row.value === undefined) {
+		return known && {...known, incarnation: row.revision, state: MemberState.LEFT};
+	}
+
+	try {
+		const value = JSON.parse(row.value) as MemberRow;
+		const isRecord = typeof value.host === 'string' && typeof value.service === 'string'
+			&& Number.isSafeInteger(value.meshPort) && Number.isSafeInteger(value.slots);
+		return isRecord ? {...value, id: row.key, incarnation: row.revision} : undefined;
+	} catch {
+		return undefined;
+	}
+}
--- /dev/null
+++ b/packages/node/src/mesh-node.ts
@@ -0,0 +1,221 @@
+/** Wires a node whose rules and members lie in a store that nodes share; the only module that makes its parts. */
+import {SystemClock, type Clock} from '@ebonylead/base/base.js';
+import {describeError} from '@ebonylead/base/errors.js';
+import {createPartLogger, type Logger} from '@ebonylead/base/logs.js';
+import {SystemRandom} from '@ebonylead/base/random.js';
+import {BurnCounters} from '@ebonylead/callers/burn-counters.js';
+import {CallMetrics} from '@ebonylead/callers/call-metrics.js';
+import {type CallerProtocol} from '@ebonylead/callers/caller-protocol.js';
+import {CallerListener} from '@ebonylead/callers/callers.js';
+import {MeshPools} from '@ebonylead/callers/mesh-pools.js';
+import {RequestIds} from '@ebonylead/callers/request-ids.js';
+import {RetryBudget} from '@ebonylead/callers/retry-budget.js';
+import {TargetChooser} from '@ebonylead/callers/target-chooser.js';
+import {MemberState, UpstreamState, type Member} from '@ebonylead/peers/generated/peers.js';
+import {Membership} from '@ebonylead/peers/membership.js';
+import {AppliedVersion} from '@ebonylead/rules/applied-version.js';
+import {type AcceptedRules, type RuleSource} from '@ebonylead/rules/rule-source.js';
+import {encodeSnapshot} from '@ebonylead/rules/snapshot-codec.js';
+import {type RowStore} from '@ebonylead/store/row-store.js';
+import {CrashDetector} from '@ebonylead/upstreams/crash-detector.js';
+import {MeshListener} from '@ebonylead/upstreams/mesh-listener.js';
+import {Quarantine} from '@ebonylead/upstreams/quarantine.js';
+import {UpstreamLink} from '@ebonylead/upstreams/upstream-link.js';
+import {type UpstreamProtocol} from '@ebonylead/upstreams/upstream-protocol.js';
+import {type Registry} from 'prom-client';
+import {MemberDirectory} from './member-directory.js';
+import {UpstreamIntake} from './upstream-intake.js';
+
+/** Settings of a mesh node. */
+export type MeshNodeSettings = {
+	readonly id: string;
+	readonly dataCentre: string;
+	readonly region: string;
+	readonly host: string;
+
+	/** Port for the calls of other nodes. */
+	readonly meshPort: number;
+
+	/** Port for callers on this VM. */
+	readonly callerPort: number;
+
+	/** Longest time of a planned stop in milliseconds. */
+	readonly stopTimeout: number;
+};
+
+/** What speaks to the outside of a mesh node. */
+export type MeshNodeParts = {
+	readonly settings: MeshNodeSettings;
+	readonly store: RowStore;
+	readonly ruleSource: RuleSource;
+	readonly callerProtocol: CallerProtocol;
+	readonly upstreamProtocol: UpstreamProtocol;
+	readonly registry: Registry;
+	readonly log: Logger;
+};
+
+/** Time in milliseconds for which a stopping node still takes calls: callers need it to hear that it is not ready. */
+const stillServingTime = 3000;
+
+/** Part of the stop timeout that is kept for closing, in milliseconds. */
+const closingReserve = 400;
+
+/** Longest wait in milliseconds for the store to take the row of a stopping node. */
+const leaveNoticeTime = 500;
+const openPollPeriod = 20;
+const instanceLimit = 0x1_00_00_00_00;
+
+/** One node beside one upstream. */
+export class MeshNode {
+	/** Takes what the upstream announces. */
+	readonly intake: UpstreamIntake;
+	readonly #parts: MeshNodeParts;
+	readonly #clock: Clock = new SystemClock();
+	readonly #random = new SystemRandom();
+	readonly #log: Logger;
+	readonly #controller = new AbortController();
+	readonly #applied = new AppliedVersion();
+	readonly #membership = new Membership();
+	readonly #pools = new MeshPools();
+	readonly #link: UpstreamLink;
+	readonly #directory: MemberDirectory;
+	readonly #mesh: MeshListener;
+	readonly #callers: CallerListener;
+	#isStopping = false;
+
+	constructor(parts: MeshNodeParts) {
+		const {settings, store, callerProtocol, upstreamProtocol, registry} = parts;
+		const clock = this.#clock;
+		const random = this.#random;
+		this.#parts = parts;
+		this.#log = this.#createLog('node');
+		this.#link = new UpstreamLink(clock, this.#createLog('upstream'));
+		this.#directory = new MemberDirectory({
+			store, membership: this.#membership, clock, log: this.#createLog('members'), self: this.#createMember(),
+		});
+		this.intake = new UpstreamIntake(this.#link, this.#directory, this.#createLog('upstream'));
+		const quarantine = new Quarantine(clock);
+		const crashes = new CrashDetector(this.#link, quarantine, this.#createLog('mesh'), () => undefined);
+		this.#mesh = new MeshListener({
+			link: this.#link, quarantine, crashes, protocol: upstreamProtocol, clock, log: this.#createLog('mesh'),
+		});
+		this.#callers = new CallerListener({
+			applied: this.#applied,
+			chooser: new TargetChooser(this.#membership, settings.dataCentre, clock, random),
+			pools: this.#pools,
+			protocol: callerProtocol,
+			budget: new RetryBudget(),
+			metrics: new CallMetrics(registry),
+			requestIds: new RequestIds(random),
+			burn: new BurnCounters(clock),
+			clock,
+			random,
+			log: this.#createLog('callers'),
+			isReady: () => this.#isServing,
+		});
+	}
+
+	/** Whether callers should send calls to this node. */
+	get isReady(): boolean {
+		return this.#isServing && !this.#isStopping;
+	}
+
+	/** Opens the listeners and starts the tasks. */
+	async start(): Promise<void> {
+		const {settings, ruleSource} = this.#parts;
+		const {signal} = this.#controller;
+		await this.#mesh.listen(settings.host, settings.meshPort);
+		await this.#callers.listen(settings.host, settings.callerPort);
+		this.#runTask('rules', ruleSource.run(signal, rules => {
+			this.#applyRules(rules);
+		}));
+		this.#runTask('members', this.#directory.run(signal));
+		this.#runTask('upstream', this.#link.run(signal));
+		this.#runTask('upstream state', this.intake.run());
+		this.#log.info({node: settings.id}, 'Started');
+	}
+
+	/**
+	 * Tells the others first, serves what still comes, ends what is in flight, then closes.
+	 *
+	 * @returns Count of calls that were cut.
+	 */
+	async stop(): Promise<number> {
+		const startedAt = this.#clock.now();
+		this.#isStopping = true;
+		this.#log.info({open: this.#openCount}, 'Stops');
+		this.#link.admission.close();
+		this.#callers.startClosing();
+		await this.#directory.change({state: MemberState.LEFT, upstreamState: UpstreamState.ABSENT}, leaveNoticeTime);
+		const end = startedAt + this.#parts.settings.stopTimeout - closingReserve;
+		await this.#clock.sleep(startedAt + stillServingTime - this.#clock.now());
+		this.#callers.refuseNew();
+		while (this.#openCount > 0 && this.#clock.now() < end) {
+			await this.#clock.sleep(openPollPeriod);
+		}
+
+		const cut = this.#openCount;
+		this.#log.info({cut, duration: Math.round(this.#clock.now() - startedAt)}, 'Stopped');
+		await this.close();
+		return cut;
+	}
+
+	/** Closes everything at once. */
+	async close(): Promise<void> {
+		this.#controller.abort();
+		this.#callers.close();
+		this.#callers.cut();
+		this.#mesh.close();
+		this.#mesh.cut();
+		await Promise.all([this.#pools.close(), this.#link.close()]);
+	}
+
+	get #isServing(): boolean {
+		return this.#applied.version > 0 && this.#directory.isKnown;
+	}
+
+	get #openCount(): number {
+		return this.#callers.openCount + this.#mesh.openCount;
+	}
+
+	#applyRules({snapshot, limits}: AcceptedRules): void {
+		const before = this.#applied.version;
+		if (!this.#applied.apply(encodeSnapshot(snapshot))) {
+			return;
+		}
+
+		if (limits) {
+			this.#callers.setLimits(limits);
+		}
+
+		this.#log.info({version: snapshot.version, before, rules: snapshot.rules.length}, 'Applied a version');
+	}
+
+	#createMember(): Member {
+		const {id, dataCentre, region, host, meshPort} = this.#parts.settings;
+		return {
+			id,
+			incarnation: 0,
+			dataCentre,
+			region,
+			host,
+			peerPort: meshPort,
+			meshPort,
+			state: MemberState.ALIVE,
+			service: '',
+			upstreamState: UpstreamState.ABSENT,
+			slots: 0,
+			instance: Math.floor(this.#random.next() * instanceLimit),
+		};
+	}
+
+	#createLog(part: string): Logger {
+		return createPartLogger(this.#parts.log, part);
+	}
+
+	#runTask(name: string, task: Promise<void>): void {
+		task.catch((error: unknown) => {
+			this.#log.fatal(`The task "${name}" ended: ${describeError(error)}`);
+		});
+	}
+}
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -6,6 +6,7 @@
 import {SystemRandom} from '@ebonylead/base/random.js';
 import {BurnCounters} from '@ebonylead/callers/burn-counters.js';
 import {CallMetrics} from '@ebonylead/callers/call-metrics.js';
+import {OwnCallerProtocol} from '@ebonylead/callers/caller-protocol.js';
 import {CallerListener} from '@ebonylead/callers/callers.js';
 import {MeshPools} from '@ebonylead/callers/mesh-pools.js';
 import {RequestIds} from '@ebonylead/callers/request-ids.js';
@@ -20,15 +21,16 @@
 import {GrpcTransport} from '@ebonylead/peers/grpc-transport.js';
 import {defaultHeartbeatTimes, frugalHeartbeatTimes} from '@ebonylead/peers/heartbeats.js';
 import {PeerNode} from '@ebonylead/peers/peer-node.js';
-import {Acceptor} from '@ebonylead/platform/acceptance.js';
-import {HttpPlatform} from '@ebonylead/platform/http-platform.js';
-import {SeedStore} from '@ebonylead/platform/seeds.js';
-import {VersionStore} from '@ebonylead/platform/versions.js';
+import {Acceptor} from '@ebonylead/store/acceptance.js';
+import {HttpStore} from '@ebonylead/store/http-store.js';
+import {SeedStore} from '@ebonylead/store/seeds.js';
+import {VersionStore} from '@ebonylead/store/versions.js';
 import {AppliedVersion} from '@ebonylead/rules/applied-version.js';
 import {AnnouncementListener} from '@ebonylead/upstreams/announcement-listener.js';
 import {CrashDetector} from '@ebonylead/upstreams/crash-detector.js';
 import {MeshListener} from '@ebonylead/upstreams/mesh-listener.js';
 import {Quarantine} from '@ebonylead/upstreams/quarantine.js';
+import {OwnUpstreamProtocol} from '@ebonylead/upstreams/upstream-protocol.js';
 import {UpstreamLink, type UpstreamStatus} from '@ebonylead/upstreams/upstream-link.js';
 import {Registry} from 'prom-client';
 import {HeadWatcher} from './head-watcher.js';
@@ -73,7 +75,7 @@
 	readonly #burn = new BurnCounters(this.#clock);
 	readonly #transport = new GrpcTransport();
 	readonly #pools = new MeshPools();
-	readonly #platform: HttpPlatform;
+	readonly #platform: HttpStore;
 	readonly #peers: PeerNode;
 	readonly #peerServer: GrpcServer;
 	readonly #link: UpstreamLink;
@@ -100,7 +102,7 @@
 		this.#onReplaced = onReplaced;
 		this.#rootLog = createLogger(settings.logLevel, {node: node.id});
 		this.#log = this.#createLog('node');
-		this.#platform = new HttpPlatform(platform);
+		this.#platform = new HttpStore(platform);
 		const versions = new VersionStore(deployment, this.#platform, this.#platform);
 		const seeds = new SeedStore(deployment, this.#platform);
 		this.#peers = this.#createPeers();
@@ -111,7 +113,7 @@
 			void this.#peers.spreadSuspects(suspects);
 		});
 		this.#mesh = new MeshListener({
-			link: this.#link, quarantine: this.#quarantine, crashes, clock, log: this.#createLog('mesh'),
+			link: this.#link, quarantine: this.#quarantine, crashes, protocol: new OwnUpstreamProtocol(), clock, log: this.#createLog('mesh'),
 		});
 		this.#watcher = new HeadWatcher({
 			selfId: node.id,
@@ -141,6 +143,7 @@
 			applied,
 			chooser,
 			pools: this.#pools,
+			protocol: new OwnCallerProtocol(),
 			budget: new RetryBudget(),
 			metrics: new CallMetrics(this.#registry),
 			requestIds: new RequestIds(random),
--- a/packages/node/src/seed-keeper.ts
+++ b/packages/node/src/seed-keeper.ts
@@ -5,7 +5,7 @@
 import {type PeerNode} from '@ebonylead/peers/peer-node.js';
 import {type Member} from '@ebonylead/peers/generated/peers.js';
 import {rankLeaders} from '@ebonylead/peers/tree.js';
-import {maxSeeds, type Seed, type SeedStore} from '@ebonylead/platform/seeds.js';
+import {maxSeeds, type Seed, type SeedStore} from '@ebonylead/store/seeds.js';
 
 const period = 60_000;
 const startPeriod = 700;
--- a/packages/rules/src/rules.ts
+++ b/packages/rules/src/rules.ts
@@ -42,6 +42,15 @@
 	/** Most calls of this route at once on one upstream; undefined for no own limit. */
 	readonly slots?: number;
 
+	/** Time in milliseconds within which an answer is worth most; undefined where none was set. */
+	readonly objective?: number;
+
+	/** Rank of the route's calls when room is short; 0 goes first. Undefined counts as the last rank. */
+	readonly priority?: number;
+
+	/** Most upstreams that one call may be sent to; undefined for the product's own limit. */
+	readonly maxTries?: number;
+
 	/** `local`, `any`, or the data centre that calls should go to first. */
 	readonly prefer: string;
 
--- a/packages/stand-ins/src/fake-platform.ts
+++ b/packages/stand-ins/src/fake-platform.ts
@@ -3,7 +3,7 @@
 import {type Clock} from '@ebonylead/base/base.js';
 import {
 	type ObjectStore, type Row, type TableService, type Transaction, type TransactionOutcome,
-} from '@ebonylead/platform/platform.js';
+} from '@ebonylead/store/store.js';
 
 /** What the fake platform may be told to do wrong. */
 export type PlatformFaults = {
--- a/packages/stand-ins/src/mesh-harness.ts
+++ b/packages/stand-ins/src/mesh-harness.ts
@@ -8,6 +8,7 @@
 import {SeededRandom} from '@ebonylead/base/random.js';
 import {BurnCounters} from '@ebonylead/callers/burn-counters.js';
 import {CallMetrics} from '@ebonylead/callers/call-metrics.js';
+import {OwnCallerProtocol} from '@ebonylead/callers/caller-protocol.js';
 import {CallerListener} from '@ebonylead/callers/callers.js';
 import {MeshPools} from '@ebonylead/callers/mesh-pools.js';
 import {RequestIds} from '@ebonylead/callers/request-ids.js';
@@ -21,6 +22,7 @@
 import {CrashDetector} from '@ebonylead/upstreams/crash-detector.js';
 import {MeshListener} from '@ebonylead/upstreams/mesh-listener.js';
 import {Quarantine, type Suspect} from '@ebonylead/upstreams/quarantine.js';
+import {OwnUpstreamProtocol} from '@ebonylead/upstreams/upstream-protocol.js';
 import {UpstreamLink} from '@ebonylead/upstreams/upstream-link.js';
 import {Registry} from 'prom-client';
 
@@ -70,6 +72,7 @@
 			applied: this.applied,
 			chooser: new TargetChooser(this.membership, 'a', this.#clock, random),
 			pools: this.#pools,
+			protocol: new OwnCallerProtocol(),
 			budget: new RetryBudget(),
 			metrics: new CallMetrics(new Registry()),
 			requestIds: new RequestIds(random),
@@ -113,7 +116,7 @@
 			this.#spreadSuspects(suspects);
 		});
 		const mesh = new MeshListener({
-			link, quarantine, crashes, clock: this.#clock, log,
+			link, quarantine, crashes, protocol: new OwnUpstreamProtocol(), clock: this.#clock, log,
 		});
 		const place: HarnessPlace = {
 			id: `p${this.places.length}`, link, mesh, quarantine, upstream, runs: 0,
--- a/packages/stand-ins/src/platform-server.ts
+++ b/packages/stand-ins/src/platform-server.ts
@@ -3,7 +3,7 @@
 import {buffer} from 'node:stream/consumers';
 import {SystemClock} from '@ebonylead/base/base.js';
 import {OutcomeUnknownError} from '@ebonylead/base/errors.js';
-import {type Transaction} from '@ebonylead/platform/platform.js';
+import {type Transaction} from '@ebonylead/store/store.js';
 import {FakePlatform, type PlatformFaults} from './fake-platform.js';
 
 /** Serves a fake platform on a port of the loopback address. */
--- a/packages/platform/src/acceptance.ts
+++ b/packages/store/src/acceptance.ts
@@ -5,7 +5,7 @@
 import {mergeRules, type RuleConflict, type RuleMerge} from '@ebonylead/rules/rule-merge.js';
 import {encodeSnapshot} from '@ebonylead/rules/snapshot-codec.js';
 import {Left, Right, type Either} from 'purify-ts';
-import {type ObjectStore, type TableService} from './platform.js';
+import {type ObjectStore, type TableService} from './store.js';
 import {type Head, type VersionRecord, type VersionStore} from './versions.js';
 
 /** A rule file that an operator submits. */
--- a/packages/platform/src/http-platform.ts
+++ b/packages/store/src/http-store.ts
@@ -4,10 +4,10 @@
 import {Pool, type Dispatcher} from 'undici';
 import {
 	type ObjectStore, type Row, type TableService, type Transaction, type TransactionOutcome,
-} from './platform.js';
+} from './store.js';
 
 /** Settings of the connection to the platform. */
-export type HttpPlatformOptions = {
+export type HttpStoreOptions = {
 	/** Base address, such as `http://10.0.0.1:7000`. */
 	readonly url: string;
 
@@ -29,12 +29,12 @@
 };
 
 /** Reaches the table service and the object store by HTTP. */
-export class HttpPlatform implements TableService, ObjectStore {
+export class HttpStore implements TableService, ObjectStore {
 	readonly #pool: Pool;
 	readonly #peer: string;
 	readonly #timeout: number;
 
-	constructor(options: HttpPlatformOptions) {
+	constructor(options: HttpStoreOptions) {
 		this.#peer = `platform ${options.url}`;
 		this.#timeout = options.timeout;
 		this.#pool = new Pool(options.url, {connections: maxConnections, connect: {timeout: options.timeout}});
--- a/packages/platform/src/seeds.ts
+++ b/packages/store/src/seeds.ts
@@ -1,5 +1,5 @@
 /** Rows that help a new node to find its first peers, one for each data centre. */
-import {type TableService} from './platform.js';
+import {type TableService} from './store.js';
 
 /** Where a node answers its peers. */
 export type Seed = {
--- /dev/null
+++ b/packages/store/src/table-follower.ts
@@ -0,0 +1,98 @@
+/** Follows the rows of one table of a row store. */
+import {type Clock} from '@ebonylead/base/base.js';
+import {describeError} from '@ebonylead/base/errors.js';
+import {type Logger} from '@ebonylead/base/logs.js';
+import {
+	HistoryLostError, type RowPage, type RowStore, type SharedRow,
+} from './row-store.js';
+
+/** What `TableFollower` needs. */
+export type TableFollowerParts = {
+	readonly store: RowStore;
+	readonly table: string;
+	readonly clock: Clock;
+	readonly log: Logger;
+
+	/** Called with changed rows, or with all rows of the table where `isComplete` is true. */
+	readonly onRows: (rows: readonly SharedRow[], isComplete: boolean) => void;
+};
+
+/** First and longest pause after a failure in milliseconds; a store that comes back is read again within a second. */
+const minPause = 50;
+const maxPause = 400;
+
+/** Reads a table, then follows its feed; reads it anew when the feed's history is gone. */
+export class TableFollower {
+	readonly #parts: TableFollowerParts;
+	#cursor: number | undefined;
+	#failures = 0;
+	#heardAt = Number.NEGATIVE_INFINITY;
+
+	constructor(parts: TableFollowerParts) {
+		this.#parts = parts;
+	}
+
+	/** Monotonic time in milliseconds at which the store last answered; minus infinity before the first answer. */
+	get heardAt(): number {
+		return this.#heardAt;
+	}
+
+	/** Whether the store did not answer the last call. */
+	get isLost(): boolean {
+		return this.#failures > 0;
+	}
+
+	/** Follows the table until the signal is aborted. */
+	async run(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			try {
+				await this.#step(signal);
+			} catch (error) {
+				if (!signal.aborted) {
+					await this.#handleFailure(error, signal);
+				}
+			}
+		}
+	}
+
+	async #step(signal: AbortSignal): Promise<void> {
+		const {store, table, onRows} = this.#parts;
+		if (this.#cursor === undefined) {
+			const page = await store.readTable(table);
+			this.#noteAnswer(page);
+			onRows(page.rows, true);
+			return;
+		}
+
+		const page = await store.waitForChanges(table, this.#cursor, signal);
+		this.#noteAnswer(page);
+		if (page.rows.length > 0) {
+			onRows(page.rows, false);
+		}
+	}
+
+	#noteAnswer(page: RowPage): void {
+		this.#cursor = Math.max(page.revision, this.#cursor ?? 0);
+		this.#heardAt = this.#parts.clock.now();
+		if (this.#failures > 0) {
+			this.#parts.log.info({table: this.#parts.table, revision: page.revision, failures: this.#failures}, 'The store answers again');
+			this.#failures = 0;
+		}
+	}
+
+	async #handleFailure(error: unknown, signal: AbortSignal): Promise<void> {
+		const {table, log, clock} = this.#parts;
+		if (error instanceof HistoryLostError) {
+			log.warn({table, revision: this.#cursor}, 'The store no longer keeps the history of this table; reading it anew');
+			this.#cursor = undefined;
+			return;
+		}
+
+		this.#failures++;
+		if (this.#failures === 1) {
+			log.warn({table, revision: this.#cursor, reason: describeError(error)}, 'The store does not answer');
+		}
+
+		await clock.sleep(Math.min(maxPause, minPause * (2 ** this.#failures)), signal);
+	}
+}
--- a/packages/platform/src/versions.ts
+++ b/packages/store/src/versions.ts
@@ -2,7 +2,7 @@
 import {StepError} from '@ebonylead/base/errors.js';
 import {type EncodedSnapshot} from '@ebonylead/rules/rules.js';
 import {decodeSnapshot, emptySnapshot} from '@ebonylead/rules/snapshot-codec.js';
-import {type ObjectStore, type Row, type TableService} from './platform.js';
+import {type ObjectStore, type Row, type TableService} from './store.js';
 
 /** The newest accepted version. */
 export type Head = {
--- a/packages/upstreams/src/admission.ts
+++ b/packages/upstreams/src/admission.ts
@@ -11,6 +11,12 @@
 	/** Monotonic time in milliseconds at which the call must be over. */
 	readonly deadline: number;
 
+	/** Monotonic time in milliseconds up to which an answer is worth most. */
+	readonly objective: number;
+
+	/** Rank of the call; 0 goes first. */
+	readonly rank: number;
+
 	/** Key of the rule that matched. */
 	readonly route: string;
 
--- a/packages/upstreams/src/forward.ts
+++ b/packages/upstreams/src/forward.ts
@@ -3,6 +3,7 @@
 import {type IncomingHttpHeaders, type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Dispatcher} from 'undici';
 import {type Cancellation} from './cancellation.js';
+import {type AnswerVerdict} from './upstream-protocol.js';
 
 /** How a try to forward a request ended. */
 export type ForwardResult
@@ -10,6 +11,8 @@
 	= | {readonly kind: 'answered'; readonly status: number; readonly headers: AnswerHeaders}
 	/** The answer was not passed on, as `isWanted` refused it. */
 		| {readonly kind: 'rejected'; readonly status: number; readonly headers: AnswerHeaders}
+	/** The server said that it did not run the request. */
+		| {readonly kind: 'not-run'; readonly reason: string; readonly isOtherInstance: boolean}
 	/** No byte of the request was sent. */
 		| {readonly kind: 'unsent'; readonly error: Error}
 	/** The request may have run; nothing was passed on. */
@@ -38,12 +41,18 @@
 	/** Longest time without any byte of the answer in milliseconds. */
 	readonly progressTimeout: number;
 
+	/** Judges the head of an answer before anything else is done with it. */
+	readonly judgeAnswer?: (status: number, headers: AnswerHeaders) => AnswerVerdict;
+
 	/** Says whether an answer should be passed on to the caller. */
 	readonly isWanted: (status: number, headers: AnswerHeaders) => boolean;
 
 	/** Returns headers to add to the answer. */
 	readonly buildExtraHeaders: (headers: AnswerHeaders) => Record<string, string>;
 
+	/** Whether an answer with neither a length nor chunks is whole when its connection ends in order. */
+	readonly mayEndWithConnection?: boolean;
+
 	/** Whether headers that only nodes may set are dropped from the answer. */
 	readonly isMeshHeaderDropped: boolean;
 };
@@ -53,6 +62,9 @@
 ]);
 
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
+/** Answers up to this size in bytes are passed on only once they are whole, so that a broken one can be replaced. */
+const maxHeldAnswer = 256 * 1024;
 const firstFinalStatus = 200;
 const meshPrefix = 'x-ebonylead-';
 
@@ -92,6 +104,9 @@
 	#isSent = false;
 	#isPassedOn = false;
 	#isFinished = false;
+	#held: Buffer[] | undefined;
+	#heldSize = 0;
+	#verdict: AnswerVerdict = {kind: 'final'};
 	#status = 0;
 	#headers: AnswerHeaders = {};
 	#timer: NodeJS.Timeout | undefined;
@@ -138,20 +153,32 @@
 
 		this.#status = status;
 		this.#headers = headers;
-		if (!this.#options.isWanted(status, headers)) {
+		this.#verdict = this.#options.judgeAnswer?.(status, headers) ?? this.#verdict;
+		if (this.#verdict.kind === 'invalid') {
+			controller.abort(new Error(this.#verdict.reason));
 			return;
 		}
 
-		if (this.#isEndUnknown(status, headers)) {
-			controller.abort(new Error('the answer has neither a length nor chunks, so that its end can not be told from a cut'));
+		if (this.#verdict.kind === 'not-run' || !this.#options.isWanted(status, headers)) {
 			return;
 		}
 
-		this.#isPassedOn = true;
-		this.#options.response.writeHead(status, this.#buildAnswerHeaders(headers));
+		const isHeld = this.#options.mayEndWithConnection === true || !this.#isEndUnknown(status, headers);
+		if (isHeld && Number(headers['content-length'] ?? 0) <= maxHeldAnswer) {
+			this.#held = [];
+			return;
+		}
+
+		this.#passOn(controller);
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+		if (this.#held) {
+			this.#restartTimer();
+			this.#hold(controller, this.#held, chunk);
+			return;
+		}
+
 		if (!this.#isPassedOn) {
 			return;
 		}
@@ -171,6 +198,16 @@
 	}
 
 	onResponseEnd(): void {
+		if (this.#verdict.kind === 'not-run') {
+			this.#end({kind: 'not-run', reason: this.#verdict.reason, isOtherInstance: this.#verdict.isOtherInstance ?? false});
+			return;
+		}
+
+		if (this.#held && !this.#isFinished) {
+			this.#passOnHeld(this.#held);
+			return;
+		}
+
 		if (!this.#isPassedOn) {
 			this.#end({kind: 'rejected', status: this.#status, headers: this.#headers});
 			return;
@@ -184,7 +221,9 @@
 		if (this.#isPassedOn) {
 			this.#end({kind: 'cut', error});
 			this.#options.response.destroy();
-		} else if (this.#status >= firstFinalStatus && !this.#options.isWanted(this.#status, this.#headers)) {
+		} else if (this.#verdict.kind === 'not-run') {
+			this.#end({kind: 'not-run', reason: this.#verdict.reason, isOtherInstance: this.#verdict.isOtherInstance ?? false});
+		} else if (this.#verdict.kind === 'final' && this.#status >= firstFinalStatus && !this.#options.isWanted(this.#status, this.#headers)) {
 			this.#end({kind: 'rejected', status: this.#status, headers: this.#headers});
 		} else {
 			this.#end({kind: this.#isSent ? 'unanswered' : 'unsent', error});
@@ -195,6 +234,43 @@
 		this.#abort(reason);
 	};
 
+	#hold(controller: Dispatcher.DispatchController, held: Buffer[], chunk: Buffer): void {
+		held.push(chunk);
+		this.#heldSize += chunk.length;
+		if (this.#heldSize <= maxHeldAnswer) {
+			return;
+		}
+
+		this.#held = undefined;
+		if (this.#passOn(controller)) {
+			this.onResponseData(controller, Buffer.concat(held));
+		}
+	}
+
+	/** Starts to pass an answer on while its end is still to come. */
+	#passOn(controller: Dispatcher.DispatchController): boolean {
+		if (this.#isEndUnknown(this.#status, this.#headers)) {
+			controller.abort(new Error('the answer has neither a length nor chunks, and is too large to be held until its end'));
+			return false;
+		}
+
+		this.#isPassedOn = true;
+		this.#options.response.writeHead(this.#status, this.#buildAnswerHeaders(this.#headers));
+		return true;
+	}
+
+	#passOnHeld(held: readonly Buffer[]): void {
+		const {response, method} = this.#options;
+		const headers = this.#buildAnswerHeaders(this.#headers);
+		if (method !== 'HEAD' && !bodilessStatuses.has(this.#status)) {
+			headers['content-length'] = String(this.#heldSize);
+		}
+
+		response.writeHead(this.#status, headers);
+		response.end(Buffer.concat(held));
+		this.#end({kind: 'answered', status: this.#status, headers: this.#headers});
+	}
+
 	#abort(reason: Error): void {
 		this.#abortReason = reason;
 		if (this.#controller) {
--- a/packages/upstreams/src/mesh-call.ts
+++ b/packages/upstreams/src/mesh-call.ts
@@ -1,7 +1,6 @@
 /** One call at the node beside the upstream, from its arrival to its end. */
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {buffer} from 'node:stream/consumers';
 import {describeError} from '@ebonylead/base/errors.js';
 import {Cancellation} from './cancellation.js';
 import {type InFlightCall} from './crash-detector.js';
@@ -10,19 +9,21 @@
 import {type MeshListenerParts} from './mesh-listener.js';
 import {quarantineTime, type Verdict} from './quarantine.js';
 import {sendRefusal} from './refusals.js';
-import {hasBody, readCount, readHeader} from './request-headers.js';
-import {meshHeaders, outcomes, type Refusal} from './upstreams.js';
+import {readBody, type RequestBody} from './request-body.js';
+import {readCount, readHeader, readNumber} from './request-headers.js';
+import {
+	lastRank, meshHeaders, outcomes, type Refusal,
+} from './upstreams.js';
 
 /** Deadline in milliseconds of a call that carries none. */
 const defaultDeadline = 2000;
 
-/** Bodies up to this size in bytes are kept, so that a fingerprint covers them. */
-const maxKeptBody = 64 * 1024;
-
-/** Share of the deadline after which the other node hears that the call is still alive. */
-const signOfLifeShare = 0.2;
-const minSignOfLifePeriod = 20;
+/** Time in milliseconds after which the other node hears that the call is still alive; its patience is several times as long. */
+const signOfLifePeriod = 100;
 const goneRetryAfter = 1000;
+
+/** An upstream that sheds calls beyond its slots has room again soon, in milliseconds. */
+const shedRetryAfter = 200;
 const firstAttempt = '1';
 const statusBadGateway = 502;
 const statusUnavailable = 503;
@@ -35,7 +36,8 @@
 	readonly #response: ServerResponse;
 	readonly #cancellation = new Cancellation();
 	readonly #deadline: number;
-	#body: Buffer | IncomingMessage | undefined;
+	readonly #startedAt: number;
+	#body: RequestBody;
 	#crashes = 0;
 
 	constructor(parts: MeshListenerParts, request: IncomingMessage, response: ServerResponse) {
@@ -43,6 +45,7 @@
 		this.#request = request;
 		this.#response = response;
 		this.#deadline = readCount(request, meshHeaders.deadline) ?? defaultDeadline;
+		this.#startedAt = parts.clock.now();
 	}
 
 	/** Runs the call to its end. */
@@ -55,7 +58,7 @@
 			if (!this.#response.headersSent) {
 				this.#response.writeProcessing();
 			}
-		}, Math.max(minSignOfLifePeriod, this.#deadline * signOfLifeShare));
+		}, signOfLifePeriod);
 		this.#response.on('close', () => {
 			if (!this.#response.writableFinished) {
 				this.#cancellation.cancel(new Error('the caller closed its connection'));
@@ -70,8 +73,9 @@
 	}
 
 	async #admit(): Promise<void> {
-		const {link, clock} = this.#parts;
-		const deadline = clock.now() + this.#deadline;
+		const {link} = this.#parts;
+		const deadline = this.#startedAt + this.#deadline;
+		const objective = readCount(this.#request, meshHeaders.objective);
 		await this.#readBody();
 		const verdict = this.#judge();
 		if (verdict === 'quarantined') {
@@ -85,6 +89,8 @@
 		const admission = await link.admission.enter({
 			caller: readHeader(this.#request, meshHeaders.caller) ?? '',
 			deadline,
+			objective: objective === undefined ? deadline : this.#startedAt + objective,
+			rank: readNumber(this.#request, meshHeaders.priority) ?? lastRank,
 			route: readHeader(this.#request, meshHeaders.route) ?? '',
 			routeSlots: readCount(this.#request, meshHeaders.routeSlots),
 			isAlone: verdict === 'suspect',
@@ -135,9 +141,15 @@
 			return {kind: 'unsent', error: new Error('no upstream was announced')};
 		}
 
+		const {protocol, clock} = this.#parts;
 		const headers = copyRequestHeaders(this.#request.headers);
-		headers[meshHeaders.deadline] = String(Math.floor(this.#deadline));
-		headers[meshHeaders.attempt] = readHeader(this.#request, meshHeaders.attempt) ?? firstAttempt;
+		const timeLeft = Math.max(1, this.#startedAt + this.#deadline - clock.now());
+		protocol.setRequestHeaders(headers, {
+			timeLeft,
+			attempt: readHeader(this.#request, meshHeaders.attempt) ?? firstAttempt,
+			caller: readHeader(this.#request, meshHeaders.caller) ?? '',
+			instance: link.instance,
+		});
 		return forwardRequest({
 			dispatcher: link.pool,
 			origin: link.origin,
@@ -148,7 +160,9 @@
 			response: this.#response,
 			cancellation: this.#cancellation,
 			progressTimeout: this.#deadline,
+			judgeAnswer: (status, answer) => protocol.judgeAnswer(status, answer, headers),
 			isWanted: () => true,
+			mayEndWithConnection: protocol.mayEndWithConnection,
 			buildExtraHeaders: () => ({[meshHeaders.load]: link.admission.load.toFixed(2)}),
 			isMeshHeaderDropped: true,
 		});
@@ -162,6 +176,17 @@
 				return;
 			}
 
+			case 'not-run': {
+				if (result.isOtherInstance) {
+					link.reportOtherInstance();
+				}
+
+				this.#refuse({
+					status: statusUnavailable, outcome: outcomes.notRun, reason: result.reason, retryAfter: shedRetryAfter,
+				});
+				return;
+			}
+
 			case 'unsent': {
 				if ((result.error as NodeJS.ErrnoException).code === 'ECONNREFUSED') {
 					link.reportRefusedConnection();
@@ -203,18 +228,8 @@
 	}
 
 	async #readBody(): Promise<void> {
-		if (!hasBody(this.#request)) {
-			return;
-		}
-
-		const length = Number(this.#request.headers['content-length'] ?? Number.POSITIVE_INFINITY);
-		if (length > maxKeptBody) {
-			this.#body = this.#request;
-			return;
-		}
-
 		try {
-			this.#body = await buffer(this.#request);
+			this.#body = await readBody(this.#request);
 		} catch (error) {
 			this.#cancellation.cancel(error as Error);
 		}
--- a/packages/upstreams/src/mesh-listener.ts
+++ b/packages/upstreams/src/mesh-listener.ts
@@ -10,12 +10,14 @@
 import {MeshCall} from './mesh-call.js';
 import {type Quarantine} from './quarantine.js';
 import {type UpstreamLink} from './upstream-link.js';
+import {type UpstreamProtocol} from './upstream-protocol.js';
 
 /** What `MeshListener` needs. */
 export type MeshListenerParts = {
 	readonly link: UpstreamLink;
 	readonly quarantine: Quarantine;
 	readonly crashes: CrashDetector;
+	readonly protocol: UpstreamProtocol;
 	readonly clock: Clock;
 	readonly log: Logger;
 };
--- a/packages/upstreams/src/upstream-link.ts
+++ b/packages/upstreams/src/upstream-link.ts
@@ -2,7 +2,7 @@
 import {type Clock} from '@ebonylead/base/base.js';
 import {type Logger} from '@ebonylead/base/logs.js';
 import {StateCell} from '@ebonylead/base/state-cell.js';
-import {Pool} from 'undici';
+import {Pool, buildConnector} from 'undici';
 import {AdmissionControl} from './admission.js';
 import {type UpstreamAnnouncement} from './upstreams.js';
 
@@ -21,6 +21,37 @@
 /** Idle connections are closed earlier than common servers close them, so that few calls meet a closing one. */
 const keepAliveTime = 4000;
 
+/** Connections beyond the slots, for those that are closing. */
+const spareConnections = 4;
+const resetCode = 'ECONNRESET';
+const resetOfUpstreamCode = 'UPSTREAM_RESET';
+
+/**
+ * Builds a connector whose resets are errors.
+ *
+ * Undici takes a reset for the end of an answer that has no length. Such an
+ * answer is cut, so the error gets another code before undici sees it.
+ */
+function createConnector(): buildConnector.connector {
+	const connect = buildConnector({timeout: connectTimeout});
+	return (options, callback) => {
+		connect(options, (...result) => {
+			const [error, socket] = result;
+			if (error) {
+				callback(error, null);
+				return;
+			}
+
+			socket.prependListener('error', (reason: NodeJS.ErrnoException) => {
+				if (reason.code === resetCode) {
+					reason.code = resetOfUpstreamCode;
+				}
+			});
+			callback(null, socket);
+		});
+	};
+}
+
 /** Follows the announcements of the upstream beside this node. */
 export class UpstreamLink {
 	readonly status = new StateCell<UpstreamStatus>({state: 'absent', service: '', slots: 0});
@@ -47,12 +78,17 @@
 		return this.#announcement?.url ?? '';
 	}
 
+	/** Identity of the upstream process; empty where it announced none. */
+	get instance(): string {
+		return this.#announcement?.instance ?? '';
+	}
+
 	/** Takes an announcement; the upstream repeats it as a heartbeat. */
 	receive(announcement: UpstreamAnnouncement): void {
 		const before = this.#announcement;
 		this.#announcement = announcement;
 		this.#announcedAt = this.#clock.now();
-		if (this.#pool === undefined || before?.url !== announcement.url || before.connections !== announcement.connections) {
+		if (this.#pool === undefined || before?.url !== announcement.url || before.instance !== announcement.instance || before.connections !== announcement.connections) {
 			this.#replacePool(announcement);
 		}
 
@@ -81,6 +117,18 @@
 		this.#setState('absent');
 	}
 
+	/** Takes no new calls: the upstream process said that it goes. */
+	retire(): void {
+		if (this.#announcement) {
+			this.#setState('draining');
+		}
+	}
+
+	/** Notes that another upstream process answers at the address: the announced one is gone. */
+	reportOtherInstance(): void {
+		this.#setState('absent');
+	}
+
 	/** Closes the connections. */
 	async close(): Promise<void> {
 		await this.#pool?.destroy();
@@ -106,11 +154,11 @@
 	#replacePool(announcement: UpstreamAnnouncement): void {
 		const before = this.#pool;
 		this.#pool = new Pool(announcement.url, {
-			connections: announcement.connections,
+			connections: Math.min(announcement.connections, announcement.slots + spareConnections),
 			pipelining: 1,
 			keepAliveTimeout: keepAliveTime,
 			keepAliveMaxTimeout: keepAliveTime,
-			connect: {timeout: connectTimeout},
+			connect: createConnector(),
 		});
 		// Calls on the earlier pool end there.
 		void before?.close();
--- /dev/null
+++ b/packages/upstreams/src/upstream-protocol.ts
@@ -0,0 +1,55 @@
+/** What a node and the upstream beside it say to each other on a call. */
+import {type AnswerHeaders} from './forward.js';
+import {meshHeaders} from './upstreams.js';
+
+/** Facts of a call that is sent to an upstream. */
+export type UpstreamCall = {
+	/** Milliseconds that are left for the call. */
+	readonly timeLeft: number;
+
+	/** Count of the try, from 1. */
+	readonly attempt: string;
+
+	/** Who calls. */
+	readonly caller: string;
+
+	/** Identity of the upstream process that must take the call; empty where it has none. */
+	readonly instance: string;
+};
+
+/** What the head of an answer says. */
+export type AnswerVerdict
+	/** It is the upstream's answer to this call. */
+	= | {readonly kind: 'final'}
+	/** The upstream did not run the call. */
+		| {readonly kind: 'not-run'; readonly reason: string; readonly isOtherInstance?: boolean}
+	/** It can't be the upstream's answer to this call; the call may have run. */
+		| {readonly kind: 'invalid'; readonly reason: string};
+
+/** Speaks to upstreams. */
+export type UpstreamProtocol = {
+	/** Whether an answer with neither a length nor chunks is whole when its connection ends in order. */
+	readonly mayEndWithConnection: boolean;
+
+	/** Sets the headers of a request, which start as a copy of the caller's. */
+	setRequestHeaders(headers: Record<string, string | string[]>, call: UpstreamCall): void;
+
+	/** Judges the head of an answer. */
+	judgeAnswer(status: number, answer: AnswerHeaders, requestHeaders: AnswerHeaders): AnswerVerdict;
+};
+
+/** The product's own protocol: every complete answer is the upstream's. */
+export class OwnUpstreamProtocol implements UpstreamProtocol {
+	get mayEndWithConnection(): boolean {
+		return false;
+	}
+
+	setRequestHeaders(headers: Record<string, string | string[]>, call: UpstreamCall): void {
+		headers[meshHeaders.deadline] = String(Math.floor(call.timeLeft));
+		headers[meshHeaders.attempt] = call.attempt;
+	}
+
+	judgeAnswer(): AnswerVerdict {
+		return {kind: 'final'};
+	}
+}
--- a/packages/upstreams/src/upstreams.ts
+++ b/packages/upstreams/src/upstreams.ts
@@ -17,6 +17,12 @@
 	/** Who calls, for the fairness between callers. */
 	caller: 'x-ebonylead-caller',
 
+	/** Milliseconds that are left of the time in which an answer is worth most. */
+	objective: 'x-ebonylead-objective',
+
+	/** Rank of the call when room is short; 0 goes first. */
+	priority: 'x-ebonylead-priority',
+
 	/** Key of the rule that matched. */
 	route: 'x-ebonylead-route',
 
@@ -42,6 +48,9 @@
 	version: 'x-ebonylead-version',
 } as const;
 
+/** Rank of calls whose rule sets none. */
+export const lastRank = 9;
+
 /** Prefix of all headers that only nodes may set. */
 export const meshHeaderPrefix = 'x-ebonylead-';
 
@@ -80,4 +89,10 @@
 	/** Most connections at once. */
 	readonly connections: number;
 	readonly state: 'ready' | 'draining';
+
+	/** Identity of the upstream process; undefined where it has none. */
+	readonly instance?: string;
+
+	/** Milliseconds for which the upstream stays slow after its start. */
+	readonly warmupLeft?: number;
 };
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -1,6 +1,7 @@
 /**
  * Builds `dist/ebonylead.cjs` and `dist/stand-ins.cjs` by esbuild, and
- * `dist/ebonylead`, a single executable, by Node and postject.
+ * `dist/ebonylead`, a single executable, by Node and postject. With
+ * `--platform` it builds only `target/ebonylead.cjs` for the users' platform.
  */
 import {execFileSync} from 'node:child_process';
 import {
@@ -12,6 +13,13 @@
 const shared = {
 	bundle: true, platform: 'node', target: 'node20', logLevel: 'warning', minifySyntax: true, legalComments: 'none',
 };
+if (process.argv.includes('--platform')) {
+	await build({
+		...shared, entryPoints: ['platform/src/platform.ts'], outfile: 'target/ebonylead.cjs', format: 'cjs',
+	});
+	process.exit(0);
+}
+
 mkdirSync('dist', {recursive: true});
 await build({
 	...shared, entryPoints: ['packages/node/src/ebonylead.ts'], outfile: 'dist/ebonylead.cjs', format: 'cjs',
