Check the service at the node beside the upstream, and admit by rank and objective

Worth was lost as urgent calls waited behind others. Change: calls name their service, and a node beside another one refuses them as not run; answers without a length are given up; a try after any arrival at an upstream draws on the budget, whose slack the nodes share; admission goes by rank, objective and turns, and refuses at once what would miss its objective.

--- a/packages/callers/src/call.ts
+++ b/packages/callers/src/call.ts
@@ -63,6 +63,9 @@
 	/** Upstreams that may have run this call. */
 	#runs = 0;
 
+	/** Upstreams that this call arrived at, those that refused it included. */
+	#arrivals = 0;
+
 	/** Upstreams that died while this call was in flight there. */
 	#crashes = 0;
 	#lastRefusal: Refusal = {status: statusUnavailable, outcome: outcomes.notRun, reason: 'no try was made'};
@@ -137,8 +140,8 @@
 	}
 
 	/**
-	 * Says whether another node may be asked. Only a call that may have run draws
-	 * on the budget, as a refusal by a node puts no load on an upstream. A call
+	 * Says whether another node may be asked. Only a call that arrived at an upstream
+	 * draws on the budget, as a refusal by a node puts no load on an upstream. A call
 	 * below a retried one does not run again itself, so that retries don't
 	 * multiply down a chain.
 	 */
@@ -147,11 +150,11 @@
 			return false;
 		}
 
-		return this.#runs === 0 || (inheritedAttempt === 1 && this.#mayRunAgain(route) && this.#parts.budget.takeRetry(this.#service));
-	}
+		if (this.#runs > 0 && !(route.rule.idempotent && this.#runs < (route.rule.maxTries ?? defaultMaxTries))) {
+			return false;
+		}
 
-	#mayRunAgain(route: Route): boolean {
-		return route.rule.idempotent && this.#runs < (route.rule.maxTries ?? defaultMaxTries);
+		return this.#arrivals === 0 || (inheritedAttempt === 1 && this.#parts.budget.takeRetry(this.#service));
 	}
 
 	get #timeLeft(): number {
@@ -215,7 +218,10 @@
 			}
 
 			case 'not-run': {
-				this.#lastRefusal = {status: statusUnavailable, outcome: outcomes.notRun, reason: result.reason};
+				this.#lastRefusal = {
+					status: statusUnavailable, outcome: outcomes.notRun, reason: result.reason, hasArrived: true,
+				};
+				this.#recordRun(false);
 				return 'retry';
 			}
 
@@ -248,6 +254,7 @@
 
 	#recordRun(mayHaveRun: boolean): void {
 		this.#runs += mayHaveRun ? 1 : 0;
+		this.#arrivals += mayHaveRun || this.#lastRefusal.hasArrived ? 1 : 0;
 		this.#mayHaveRun ||= mayHaveRun;
 	}
 
@@ -291,8 +298,9 @@
 			headers[meshHeaders.suspect] = String(this.#crashes);
 		}
 
+		headers[meshHeaders.service] = this.#service;
+		headers[meshHeaders.route] = route.key;
 		if (route.rule.slots !== undefined) {
-			headers[meshHeaders.route] = route.key;
 			headers[meshHeaders.routeSlots] = String(route.rule.slots);
 		}
 
@@ -360,6 +368,7 @@
 	return {
 		status,
 		outcome,
+		hasArrived: headers[meshHeaders.arrived] !== undefined,
 		reason: String(headers[meshHeaders.reason] ?? `the upstream answered with status ${status}`),
 		retryAfter: retryAfter > 0 ? retryAfter : undefined,
 	};
--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -39,6 +39,12 @@
 	/** Port for callers on this VM. */
 	readonly callerPort: number;
 
+	/** Retries of the whole fleet beyond the ratio; the nodes share them evenly. */
+	readonly retrySlack: number;
+
+	/** Retries for each first try. */
+	readonly retryRatio: number;
+
 	/** Longest time of a planned stop in milliseconds. */
 	readonly stopTimeout: number;
 };
@@ -104,7 +110,7 @@
 			chooser: new TargetChooser(this.#membership, settings.dataCentre, clock, random),
 			pools: this.#pools,
 			protocol: callerProtocol,
-			budget: new RetryBudget(),
+			budget: new RetryBudget(settings.retryRatio, () => settings.retrySlack / Math.max(1, this.#membership.activeCount)),
 			metrics: new CallMetrics(registry),
 			requestIds: new RequestIds(random),
 			burn: new BurnCounters(clock),
--- a/packages/upstreams/src/admission.ts
+++ b/packages/upstreams/src/admission.ts
@@ -1,6 +1,7 @@
 /** Decides which calls run now, which wait, and which are refused, at the node beside an upstream. */
 import {type Clock} from '@ebonylead/base/base.js';
 import {type Cancellation} from './cancellation.js';
+import {RankUse, ServiceTimes} from './service-times.js';
 import {outcomes, type Refusal} from './upstreams.js';
 
 /** A call that asks for a slot. */
@@ -48,8 +49,8 @@
 /** Calls that may wait for each slot. */
 const queuePerSlot = 4;
 
-/** Least weight of the newest sample in the mean time of a call; the first samples weigh more. */
-const minMeanWeight = 0.1;
+/** Calls that may wait for each slot although an answer would come after its objective: they fill slots that would be idle. */
+const lateQueuePerSlot = 0.25;
 
 /** A call that waits is refused this long before its deadline, in milliseconds, so that the refusal arrives in time. */
 const minRefusalMargin = 20;
@@ -63,26 +64,33 @@
 /** Shortest advice to come again, in milliseconds. */
 const minRetryAfter = 50;
 
+/** Least share of the slots that counts as left for a rank, so that an estimate stays finite. */
+const minFreeShare = 0.1;
+
 /**
  * Holds the slots of one upstream.
  *
- * Calls that find no slot wait in a short queue, one line for each caller, and
- * the callers take turns. A call that could not end before its deadline is
- * refused at once, and when the queue is full the longest line gives up its
- * oldest call: that one has the least time left.
+ * Calls that find no slot wait in a short queue. Slots go to the lowest rank
+ * first, then to calls that can still meet their objective, then to the callers
+ * in turn, then to the earliest objective. This answers loads beyond the
+ * capacity: a call that would miss its objective is refused at once while
+ * others can meet theirs, so that what is served is served in time. When the
+ * queue is full, the worst rank's longest line gives up its oldest call.
  */
 export class AdmissionControl {
 	readonly #clock: Clock;
-	readonly #lines = new Map<string, Waiting[]>();
+	readonly #times = new ServiceTimes(firstMean);
+	readonly #use = new RankUse();
 	readonly #routeCounts = new Map<string, number>();
+
+	/** When each caller last got a slot after waiting, as a count of turns. */
+	readonly #turns = new Map<string, number>();
+	#turn = 0;
+	readonly #queue: Waiting[] = [];
 	#slots: number;
 	#running = 0;
-	#waiting = 0;
-	#mean = firstMean;
-	#endedCount = 0;
 	#isClosed = false;
 	#isAloneRunning = false;
-	#aloneWaiting = 0;
 	#isSweeping = false;
 
 	constructor(clock: Clock, slots: number) {
@@ -96,7 +104,7 @@
 			return closedLoad;
 		}
 
-		return this.#slots === 0 ? 1 : (this.#running + this.#waiting) / this.#slots;
+		return this.#slots === 0 ? 1 : (this.#running + this.#queue.length) / this.#slots;
 	}
 
 	/** Count of calls that run. */
@@ -106,7 +114,7 @@
 
 	/** Count of calls that wait. */
 	get waiting(): number {
-		return this.#waiting;
+		return this.#queue.length;
 	}
 
 	/** Changes the count of slots; calls that run are left alone. */
@@ -118,7 +126,7 @@
 	/** Refuses all new calls and those that wait; calls that run are left alone. */
 	close(): void {
 		this.#isClosed = true;
-		for (const waiting of [...this.#lines.values()].flat()) {
+		for (const waiting of this.#queue) {
 			this.#refuse(waiting, 'the upstream is leaving');
 		}
 	}
@@ -131,15 +139,21 @@
 	/** Asks for a slot. Resolves when the call may run, or at once where it is refused. */
 	async enter(request: AdmissionRequest): Promise<Admission> {
 		if (this.#isClosed) {
-			return this.#buildRefusal('the upstream is leaving');
+			return this.#buildRefusal(request, 'the upstream is leaving');
 		}
 
-		if (this.#waiting === 0 && this.#hasSlot(request)) {
+		const isAtOnce = this.#queue.length === 0 && this.#hasSlot(request);
+		const end = this.#clock.now() + (isAtOnce ? 0 : this.#estimateWait(request)) + this.#times.estimate(request.route);
+		if (end > request.deadline) {
+			return this.#buildRefusal(request, 'no slot comes free before the deadline');
+		}
+
+		if (isAtOnce) {
 			return this.#admit(request);
 		}
 
-		if (this.#estimateWait() + this.#mean > request.deadline - this.#clock.now()) {
-			return this.#buildRefusal('no slot comes free before the deadline');
+		if (end > request.objective && this.#countLate() >= this.#slots * lateQueuePerSlot) {
+			return this.#buildRefusal(request, 'no slot comes free in time for the objective');
 		}
 
 		return this.#wait(request);
@@ -150,7 +164,7 @@
 			return false;
 		}
 
-		if (!request.isAlone && this.#aloneWaiting > 0) {
+		if (!request.isAlone && this.#queue.some(waiting => waiting.request.isAlone)) {
 			return false;
 		}
 
@@ -179,8 +193,8 @@
 	#release(request: AdmissionRequest, duration: number): void {
 		this.#running--;
 		this.#isAloneRunning = false;
-		this.#endedCount++;
-		this.#mean += (duration - this.#mean) * Math.max(minMeanWeight, 1 / this.#endedCount);
+		this.#times.record(request.route, duration);
+		this.#use.record(request.rank, duration, this.#clock.now());
 		const left = (this.#routeCounts.get(request.route) ?? 1) - 1;
 		if (left === 0) {
 			this.#routeCounts.delete(request.route);
@@ -192,21 +206,13 @@
 	}
 
 	async #wait(request: AdmissionRequest): Promise<Admission> {
-		if (this.#waiting >= this.#slots * queuePerSlot) {
-			this.#dropOldest();
-		}
-
 		return new Promise(resolve => {
 			const waiting: Waiting = {request, resolve};
-			const line = this.#lines.get(request.caller);
-			if (line) {
-				line.push(waiting);
-			} else {
-				this.#lines.set(request.caller, [waiting]);
+			this.#queue.push(waiting);
+			if (this.#queue.length > this.#slots * queuePerSlot) {
+				this.#dropWorst();
 			}
 
-			this.#waiting++;
-			this.#aloneWaiting += request.isAlone ? 1 : 0;
 			void this.#sweepWhileWaiting();
 			request.cancellation.addListener(() => {
 				this.#refuse(waiting, 'the caller left or the deadline passed while the call waited');
@@ -221,91 +227,130 @@
 		}
 
 		this.#isSweeping = true;
-		while (this.#waiting > 0) {
+		while (this.#queue.length > 0) {
 			await this.#clock.sleep(sweepPeriod);
-			const limit = this.#clock.now() + Math.max(minRefusalMargin, this.#mean);
-			for (const waiting of [...this.#lines.values()].flat()) {
-				if (waiting.request.deadline < limit) {
-					this.#refuse(waiting, 'the deadline came too close while the call waited');
-				}
-			}
+			this.#refuseHopeless();
 		}
 
 		this.#isSweeping = false;
 	}
 
-	#dropOldest(): void {
-		let longest: Waiting[] = [];
-		for (const line of this.#lines.values()) {
-			if (line.length > longest.length) {
-				longest = line;
+	#refuseHopeless(): void {
+		const now = this.#clock.now();
+		for (const waiting of this.#queue) {
+			const {deadline, route} = waiting.request;
+			if (deadline < now + Math.max(minRefusalMargin, this.#times.estimate(route))) {
+				this.#refuse(waiting, 'the deadline came too close while the call waited');
 			}
 		}
+	}
 
-		const oldest = longest[0];
-		if (oldest) {
-			this.#refuse(oldest, 'the queue is full');
+	/** Refuses the oldest call of the longest line among those of the worst rank. */
+	#dropWorst(): void {
+		const worstRank = Math.max(...this.#queue.map(({request}) => request.rank));
+		const worst = this.#queue.filter(({request}) => request.rank === worstRank);
+		const lengths = new Map<string, number>();
+		for (const {request} of worst) {
+			lengths.set(request.caller, (lengths.get(request.caller) ?? 0) + 1);
+		}
+
+		const longest = Math.max(...lengths.values());
+		const victim = worst.find(({request}) => lengths.get(request.caller) === longest);
+		if (victim) {
+			this.#refuse(victim, 'the queue is full');
 		}
 	}
 
 	#refuse(waiting: Waiting, reason: string): void {
 		if (this.#remove(waiting)) {
-			waiting.resolve(this.#buildRefusal(reason));
+			waiting.resolve(this.#buildRefusal(waiting.request, reason));
 			// A call that waited to run alone may have held the others back.
 			this.#startWaiting();
 		}
 	}
 
 	#remove(waiting: Waiting): boolean {
-		const line = this.#lines.get(waiting.request.caller);
-		const index = line?.indexOf(waiting) ?? -1;
-		if (line === undefined || index === -1) {
-			return false;
-		}
-
-		line.splice(index, 1);
-		this.#waiting--;
-		this.#aloneWaiting -= waiting.request.isAlone ? 1 : 0;
-		if (line.length === 0) {
-			this.#lines.delete(waiting.request.caller);
+		const index = this.#queue.indexOf(waiting);
+		if (index !== -1) {
+			this.#queue.splice(index, 1);
 		}
 
-		return true;
+		return index !== -1;
 	}
 
-	/** Gives free slots to the lines in turn; a line that got one goes to the back. */
+	/** Gives free slots to those that wait, the best first. */
 	#startWaiting(): void {
-		for (const [caller, line] of this.#lines) {
-			if (this.#running >= this.#slots) {
+		while (this.#running < this.#slots) {
+			const next = this.#findNext();
+			if (next === undefined) {
 				return;
 			}
 
-			const next = line[0];
-			if (next === undefined || !this.#hasSlot(next.request)) {
-				continue;
-			}
-
-			this.#lines.delete(caller);
-			this.#lines.set(caller, line);
+			const {request} = next;
 			this.#remove(next);
-			if (this.#mean > next.request.deadline - this.#clock.now()) {
-				next.resolve(this.#buildRefusal('the deadline came too close while the call waited'));
+			this.#turn++;
+			this.#turns.set(request.caller, this.#turn);
+			if (this.#clock.now() + this.#times.estimate(request.route) > request.deadline) {
+				next.resolve(this.#buildRefusal(request, 'the deadline came too close while the call waited'));
 			} else {
-				next.resolve(this.#admit(next.request));
+				next.resolve(this.#admit(request));
 			}
 		}
 
-		if (this.#running < this.#slots && [...this.#lines.values()].some(line => this.#hasSlot(line[0]!.request))) {
-			this.#startWaiting();
+		if (this.#queue.length === 0) {
+			this.#turns.clear();
 		}
 	}
 
-	#estimateWait(): number {
-		return this.#mean * (this.#waiting + 1) / Math.max(1, this.#slots);
+	#findNext(): Waiting | undefined {
+		const alone = this.#queue.find(waiting => waiting.request.isAlone);
+		const candidates = alone ? [alone] : this.#queue;
+		let best: Waiting | undefined;
+		for (const waiting of candidates) {
+			if (this.#mayStart(waiting.request) && (best === undefined || this.#compare(waiting, best) < 0)) {
+				best = waiting;
+			}
+		}
+
+		return best;
+	}
+
+	/** As `#hasSlot`, for a call whose turn it is. */
+	#mayStart(request: AdmissionRequest): boolean {
+		const routeCount = this.#routeCounts.get(request.route) ?? 0;
+		return !this.#isAloneRunning && !(request.isAlone && this.#running > 0) && routeCount < (request.routeSlots ?? this.#slots);
+	}
+
+	#compare(left: Waiting, right: Waiting): number {
+		return left.request.rank - right.request.rank
+			|| Number(this.#isLate(left)) - Number(this.#isLate(right))
+			|| (this.#turns.get(left.request.caller) ?? 0) - (this.#turns.get(right.request.caller) ?? 0)
+			|| left.request.objective - right.request.objective;
+	}
+
+	/** Whether the call would miss its objective even if it started now. */
+	#isLate({request}: Waiting): boolean {
+		return this.#clock.now() + this.#times.estimate(request.route) > request.objective;
+	}
+
+	#countLate(): number {
+		return this.#queue.filter(waiting => this.#isLate(waiting)).length;
+	}
+
+	/** Estimates the time until a call of this rank gets a slot, behind what goes before it and with what its betters use. */
+	#estimateWait(request: AdmissionRequest): number {
+		let work = this.#times.mean;
+		for (const waiting of this.#queue) {
+			work += waiting.request.rank <= request.rank ? this.#times.estimate(waiting.request.route) : 0;
+		}
+
+		const slots = Math.max(1, this.#slots);
+		const free = Math.max(slots * minFreeShare, slots - this.#use.sumBefore(request.rank, this.#clock.now()));
+		return work / free;
 	}
 
-	#buildRefusal(reason: string): Admission {
-		const retryAfter = Math.max(minRetryAfter, Math.ceil(this.#estimateWait()));
+	#buildRefusal(request: AdmissionRequest, reason: string): Admission {
+		const retryAfter = Math.max(minRetryAfter, Math.ceil(this.#estimateWait(request)));
 		return {
 			kind: 'refused',
 			refusal: {
--- a/packages/upstreams/src/forward.ts
+++ b/packages/upstreams/src/forward.ts
@@ -50,9 +50,6 @@
 	/** Returns headers to add to the answer. */
 	readonly buildExtraHeaders: (headers: AnswerHeaders) => Record<string, string>;
 
-	/** Whether an answer with neither a length nor chunks is whole when its connection ends in order. */
-	readonly mayEndWithConnection?: boolean;
-
 	/** Whether headers that only nodes may set are dropped from the answer. */
 	readonly isMeshHeaderDropped: boolean;
 };
@@ -163,8 +160,7 @@
 			return;
 		}
 
-		const isHeld = this.#options.mayEndWithConnection === true || !this.#isEndUnknown(status, headers);
-		if (isHeld && Number(headers['content-length'] ?? 0) <= maxHeldAnswer) {
+		if (!this.#isEndUnknown(status, headers) && Number(headers['content-length'] ?? 0) <= maxHeldAnswer) {
 			this.#held = [];
 			return;
 		}
--- a/packages/upstreams/src/mesh-call.ts
+++ b/packages/upstreams/src/mesh-call.ts
@@ -74,6 +74,14 @@
 
 	async #admit(): Promise<void> {
 		const {link} = this.#parts;
+		const service = readHeader(this.#request, meshHeaders.service);
+		if (service !== undefined && service !== link.status.value.service) {
+			this.#refuse({
+				status: statusUnavailable, outcome: outcomes.notRun, reason: `the upstream here is of "${link.status.value.service}", not of "${service}"`,
+			});
+			return;
+		}
+
 		const deadline = this.#startedAt + this.#deadline;
 		const objective = readCount(this.#request, meshHeaders.objective);
 		await this.#readBody();
@@ -162,7 +170,6 @@
 			progressTimeout: this.#deadline,
 			judgeAnswer: (status, answer) => protocol.judgeAnswer(status, answer, headers),
 			isWanted: () => true,
-			mayEndWithConnection: protocol.mayEndWithConnection,
 			buildExtraHeaders: () => ({[meshHeaders.load]: link.admission.load.toFixed(2)}),
 			isMeshHeaderDropped: true,
 		});
@@ -182,7 +189,7 @@
 				}
 
 				this.#refuse({
-					status: statusUnavailable, outcome: outcomes.notRun, reason: result.reason, retryAfter: shedRetryAfter,
+					status: statusUnavailable, outcome: outcomes.notRun, reason: result.reason, retryAfter: shedRetryAfter, hasArrived: true,
 				});
 				return;
 			}
--- a/packages/upstreams/src/refusals.ts
+++ b/packages/upstreams/src/refusals.ts
@@ -33,6 +33,10 @@
 		headers['retry-after'] = Math.max(1, Math.ceil(refusal.retryAfter / millisecondsPerSecond));
 	}
 
+	if (refusal.hasArrived) {
+		headers[meshHeaders.arrived] = '1';
+	}
+
 	response.writeHead(refusal.status, headers);
 	response.end(body);
 }
--- a/packages/upstreams/src/upstream-link.ts
+++ b/packages/upstreams/src/upstream-link.ts
@@ -2,7 +2,7 @@
 import {type Clock} from '@ebonylead/base/base.js';
 import {type Logger} from '@ebonylead/base/logs.js';
 import {StateCell} from '@ebonylead/base/state-cell.js';
-import {Pool, buildConnector} from 'undici';
+import {Pool} from 'undici';
 import {AdmissionControl} from './admission.js';
 import {type UpstreamAnnouncement} from './upstreams.js';
 
@@ -23,34 +23,6 @@
 
 /** Connections beyond the slots, for those that are closing. */
 const spareConnections = 4;
-const resetCode = 'ECONNRESET';
-const resetOfUpstreamCode = 'UPSTREAM_RESET';
-
-/**
- * Builds a connector whose resets are errors.
- *
- * Undici takes a reset for the end of an answer that has no length. Such an
- * answer is cut, so the error gets another code before undici sees it.
- */
-function createConnector(): buildConnector.connector {
-	const connect = buildConnector({timeout: connectTimeout});
-	return (options, callback) => {
-		connect(options, (...result) => {
-			const [error, socket] = result;
-			if (error) {
-				callback(error, null);
-				return;
-			}
-
-			socket.prependListener('error', (reason: NodeJS.ErrnoException) => {
-				if (reason.code === resetCode) {
-					reason.code = resetOfUpstreamCode;
-				}
-			});
-			callback(null, socket);
-		});
-	};
-}
 
 /** Follows the announcements of the upstream beside this node. */
 export class UpstreamLink {
@@ -158,7 +130,7 @@
 			pipelining: 1,
 			keepAliveTimeout: keepAliveTime,
 			keepAliveMaxTimeout: keepAliveTime,
-			connect: createConnector(),
+			connect: {timeout: connectTimeout},
 		});
 		// Calls on the earlier pool end there.
 		void before?.close();
--- a/packages/upstreams/src/upstream-protocol.ts
+++ b/packages/upstreams/src/upstream-protocol.ts
@@ -28,9 +28,6 @@
 
 /** Speaks to upstreams. */
 export type UpstreamProtocol = {
-	/** Whether an answer with neither a length nor chunks is whole when its connection ends in order. */
-	readonly mayEndWithConnection: boolean;
-
 	/** Sets the headers of a request, which start as a copy of the caller's. */
 	setRequestHeaders(headers: Record<string, string | string[]>, call: UpstreamCall): void;
 
@@ -40,10 +37,6 @@
 
 /** The product's own protocol: every complete answer is the upstream's. */
 export class OwnUpstreamProtocol implements UpstreamProtocol {
-	get mayEndWithConnection(): boolean {
-		return false;
-	}
-
 	setRequestHeaders(headers: Record<string, string | string[]>, call: UpstreamCall): void {
 		headers[meshHeaders.deadline] = String(Math.floor(call.timeLeft));
 		headers[meshHeaders.attempt] = call.attempt;
--- a/packages/upstreams/src/upstreams.ts
+++ b/packages/upstreams/src/upstreams.ts
@@ -23,6 +23,12 @@
 	/** Rank of the call when room is short; 0 goes first. */
 	priority: 'x-ebonylead-priority',
 
+	/** Service that the call is for; a node beside an upstream of another service refuses it. */
+	service: 'x-ebonylead-service',
+
+	/** `1` on a refusal that comes from the upstream itself, so that the call arrived there. */
+	arrived: 'x-ebonylead-arrived',
+
 	/** Key of the rule that matched. */
 	route: 'x-ebonylead-route',
 
@@ -74,6 +80,9 @@
 
 	/** Milliseconds after which the caller may come again. */
 	readonly retryAfter?: number;
+
+	/** Whether the call arrived at an upstream, which refused it. */
+	readonly hasArrived?: boolean;
 };
 
 /** What an upstream announces. */
