--- a/packages/node/src/test/member-directory_test.ts
+++ b/packages/node/src/test/member-directory_test.ts
@@ -71,7 +71,7 @@
 			await withDirectory(store, async directory => {
 				await settle(() => store.has(memberTable, 'n1'));
 				await directory.change({upstreamState: UpstreamState.DRAINING}, waitLimit, upstream);
-				t.like(JSON.parse(store.find(memberTable, 'n1')!), {upstreamState: UpstreamState.DRAINING, upstream});
+				t.like(JSON.parse(store.readValue(memberTable, 'n1')!), {upstreamState: UpstreamState.DRAINING, upstream});
 			});
 		});
 
@@ -83,7 +83,7 @@
 					await directory.change({slots}, waitLimit);
 				}
 
-				t.like(JSON.parse(store.find(memberTable, 'n1')!), {slots: 6});
+				t.like(JSON.parse(store.readValue(memberTable, 'n1')!), {slots: 6});
 			});
 		});
 
@@ -91,7 +91,7 @@
 			const store = new FakeRowStore();
 			await withDirectory(store, async directory => {
 				await directory.change({state: MemberState.LEFT}, waitLimit);
-				t.is(store.find(memberTable, 'n1'), undefined);
+				t.is(store.readValue(memberTable, 'n1'), undefined);
 			});
 		});
 
--- a/packages/stand-ins/src/fake-row-store.ts
+++ b/packages/stand-ins/src/fake-row-store.ts
@@ -19,13 +19,13 @@
 	#firstKept = 0;
 
 	/** Returns the value of a row. */
-	find(table: string, key: string): string | undefined {
+	readValue(table: string, key: string): string | undefined {
 		return this.#rows.get(`${table}/${key}`)?.value;
 	}
 
 	/** Says whether a row exists. */
 	has(table: string, key: string): boolean {
-		return this.find(table, key) !== undefined;
+		return this.readValue(table, key) !== undefined;
 	}
 
 	/** Writes a row whatever its revision, as somebody else would. */
