Tell returning calls by their deadline, and ask no full upstream again at once

Change: the estimate counts only what goes before; the age of an attempt is estimated from the longest deadline of its route and moves its objective; an upstream that refused for want of room is not asked for the same route for some milliseconds; the advice to come again is spread. Decisions on calls are logged at both hops, bounded to 50 lines a second.

--- /dev/null
+++ b/packages/base/src/decision-log.ts
@@ -0,0 +1,43 @@
+/** Logs decisions on requests with a bound on the lines of each second. */
+import {type Clock} from './base.js';
+import {type Logger} from './logs.js';
+
+/** Most lines in one second: a fleet node refuses a few dozen calls a second at twice its capacity. */
+const maxLinesPerSecond = 50;
+const windowLength = 1000;
+
+/** Writes one line for each decision; lines beyond the bound are counted, and the count is written with the next one. */
+export class DecisionLog {
+	readonly #log: Logger;
+	readonly #clock: Clock;
+	#windowStart = Number.NEGATIVE_INFINITY;
+	#lines = 0;
+	#dropped = 0;
+
+	constructor(log: Logger, clock: Clock) {
+		this.#log = log;
+		this.#clock = clock;
+	}
+
+	/** Writes a line with the inputs of a decision. */
+	record(inputs: Readonly<Record<string, unknown>>, message: string): void {
+		const now = this.#clock.now();
+		if (now - this.#windowStart >= windowLength) {
+			this.#windowStart = now;
+			this.#lines = 0;
+		}
+
+		if (this.#lines >= maxLinesPerSecond) {
+			this.#dropped++;
+			return;
+		}
+
+		this.#lines++;
+		if (this.#dropped > 0) {
+			this.#log.warn({dropped: this.#dropped}, 'Left out lines to keep the volume bounded');
+			this.#dropped = 0;
+		}
+
+		this.#log.info(inputs, message);
+	}
+}
--- a/packages/callers/src/call.ts
+++ b/packages/callers/src/call.ts
@@ -27,10 +27,6 @@
 /** Upstreams that may die of one call before it is tried no more. */
 const maxCrashes = 2;
 
-/** Ranks at a node beside an upstream: calls of upstreams that are at work go first, then those of callers by priority. */
-const nestedRank = 0;
-const firstCallerRank = 1;
-
 /** Bounds of the time in milliseconds in which the other node must show a sign of life; it sends one each 100 ms. */
 const maxProgressTimeout = 800;
 const minProgressTimeout = 300;
@@ -57,10 +53,12 @@
 	readonly #applied: Applied;
 	readonly #startedAt: number;
 	readonly #cancellation = new Cancellation();
-	readonly #isNested: boolean;
 	readonly #tried = new Set<string>();
 	#headers: Record<string, string | string[]> = {};
 	#deadline = 0;
+
+	/** Time in milliseconds that the caller had spent when this attempt came. */
+	#age = 0;
 	#service = '';
 	#result: CallResult = callResults.notRun;
 	#mayHaveRun = false;
@@ -68,6 +66,11 @@
 	/** Upstreams that may have run this call. */
 	#runs = 0;
 
+	/** What each node that was asked did, for the log. */
+	readonly #steps: string[] = [];
+	#status = 0;
+	#reason = '';
+
 	/** Upstreams that this call arrived at, those that refused it included. */
 	#arrivals = 0;
 
@@ -81,7 +84,6 @@
 		this.#response = response;
 		this.#applied = parts.applied.current;
 		this.#startedAt = parts.clock.now();
-		this.#isNested = parts.protocol.isNested(request);
 	}
 
 	/** Runs the call to its end. */
@@ -103,7 +105,9 @@
 		}
 
 		this.#service = this.#pickService(route);
-		this.#deadline = Math.min(route.rule.deadline, this.#parts.protocol.readDeadline(this.#request) ?? route.rule.deadline);
+		const callerDeadline = this.#parts.protocol.readDeadline(this.#request) ?? route.rule.deadline;
+		this.#age = this.#parts.ages.estimate(route.key, callerDeadline);
+		this.#deadline = Math.min(route.rule.deadline, callerDeadline);
 		const timer = setTimeout(() => {
 			this.#cancellation.cancel(new Error('the deadline passed'));
 		}, this.#deadline);
@@ -114,7 +118,30 @@
 			clearTimeout(timer);
 			this.#parts.metrics.recordCall(this.#service, this.#result, this.#parts.clock.now() - this.#startedAt);
 			this.#recordBurn(route);
+			this.#logEnd(route);
+		}
+	}
+
+	/** One line for each call that did not end with an answer of an upstream that the caller can use. */
+	#logEnd(route: Route): void {
+		const {decisions, protocol, clock} = this.#parts;
+		if (this.#result === callResults.answered && this.#response.statusCode < firstServerError) {
+			return;
 		}
+
+		decisions.record({
+			id: protocol.readRequestId(this.#request),
+			route: route.key,
+			age: Math.round(this.#age),
+			version: this.#version,
+			service: this.#service,
+			result: this.#result,
+			status: this.#status === 0 ? this.#response.statusCode : this.#status,
+			reason: this.#reason,
+			asked: this.#steps,
+			deadline: Math.round(this.#deadline),
+			duration: Math.round(clock.now() - this.#startedAt),
+		}, 'Ended a call');
 	}
 
 	async #runTries(route: Route): Promise<void> {
@@ -169,13 +196,9 @@
 
 	async #runTry(route: Route, body: RequestBody, attempt: number): Promise<NextStep> {
 		const {chooser, pools} = this.#parts;
-		const member = chooser.choose(this.#service, route.rule.prefer, this.#tried);
+		const member = chooser.choose(this.#service, route, this.#tried);
 		if (member === undefined) {
-			return this.#tried.size > 0
-				? this.#lastRefusal
-				: {
-					status: statusUnavailable, outcome: outcomes.notRun, reason: `no upstream of "${this.#service}" is ready`, retryAfter: defaultRetryAfter,
-				};
+			return chooser.findRefusal(this.#service, route) ?? (this.#tried.size > 0 ? this.#lastRefusal : this.#buildAbsence());
 		}
 
 		this.#tried.add(member.id);
@@ -197,9 +220,17 @@
 			isMeshHeaderDropped: false,
 		});
 		this.#recordEnd(member, origin, startedAt, result);
+		const detail = 'error' in result ? describeError(result.error) : String('headers' in result ? result.headers[meshHeaders.reason] ?? result.status : result.reason);
+		this.#steps.push(`${member.id} r${member.incarnation} ${result.kind} after ${Date.now() - startedAt} ms: ${detail}`);
 		return this.#decide(route, member, result);
 	}
 
+	#buildAbsence(): Refusal {
+		return {
+			status: statusUnavailable, outcome: outcomes.notRun, reason: `no upstream of "${this.#service}" is ready`, retryAfter: defaultRetryAfter,
+		};
+	}
+
 	/** Says whether an answer goes to the caller: refusals don't, and neither do failures that may be tried again. */
 	#isWanted(route: Route, status: number, headers: AnswerHeaders): boolean {
 		if (headers[meshHeaders.outcome] !== undefined) {
@@ -241,6 +272,11 @@
 			case 'rejected': {
 				this.#lastRefusal = readRefusal(result.status, result.headers);
 				this.#recordRun(this.#lastRefusal.outcome === outcomes.unknown);
+				// What has no room for a returning call may have some for a new one.
+				if (this.#lastRefusal.isFull && this.#age === 0) {
+					this.#parts.chooser.recordFull(member, route, this.#lastRefusal);
+				}
+
 				this.#crashes = Math.max(this.#crashes, Number(result.headers[meshHeaders.suspect] ?? 0));
 				if (this.#crashes >= maxCrashes) {
 					return this.#lastRefusal;
@@ -289,14 +325,12 @@
 		const headers = this.#headers;
 		const left = Math.max(1, Math.floor(this.#timeLeft));
 		headers[meshHeaders.deadline] = String(left);
-		if (route.rule.objective !== undefined && !this.#isNested) {
-			headers[meshHeaders.objective] = String(Math.max(1, Math.floor(route.rule.objective - (this.#parts.clock.now() - this.#startedAt))));
+		if (route.rule.objective !== undefined) {
+			headers[meshHeaders.objective] = String(Math.max(1, Math.floor(route.rule.objective - this.#age - (this.#parts.clock.now() - this.#startedAt))));
 		}
 
-		if (this.#isNested) {
-			headers[meshHeaders.priority] = String(nestedRank);
-		} else if (route.rule.priority !== undefined) {
-			headers[meshHeaders.priority] = String(firstCallerRank + route.rule.priority);
+		if (route.rule.priority !== undefined) {
+			headers[meshHeaders.priority] = String(route.rule.priority);
 		}
 
 		if (attempt > 1) {
@@ -359,11 +393,18 @@
 		return this.#applied.encoded.snapshot.version;
 	}
 
-	/** Answers in place of an upstream. "Not run" is said only where no try may have run. */
+	/**
+	 * Answers in place of an upstream. "Not run" is said only where no try may
+	 * have run. The advice to come again is spread over as long again, so that
+	 * those who were refused together don't return together.
+	 */
 	#refuse(refusal: Refusal): void {
 		const outcome = this.#mayHaveRun ? outcomes.unknown : refusal.outcome;
 		this.#result = outcome === outcomes.notRun ? callResults.notRun : callResults.unknown;
-		this.#parts.protocol.sendRefusal(this.#response, {...refusal, outcome});
+		const retryAfter = refusal.retryAfter && refusal.retryAfter * (1 + this.#parts.random.next());
+		this.#status = refusal.status;
+		this.#reason = refusal.reason;
+		this.#parts.protocol.sendRefusal(this.#response, {...refusal, outcome, retryAfter});
 		this.#request.resume();
 	}
 
@@ -383,6 +424,7 @@
 		status,
 		outcome,
 		hasArrived: headers[meshHeaders.arrived] !== undefined,
+		isFull: headers[meshHeaders.full] !== undefined,
 		reason: String(headers[meshHeaders.reason] ?? `the upstream answered with status ${status}`),
 		retryAfter: retryAfter > 0 ? retryAfter : undefined,
 	};
--- a/packages/callers/src/caller-protocol.ts
+++ b/packages/callers/src/caller-protocol.ts
@@ -20,9 +20,6 @@
 	/** Returns who calls. */
 	readCaller(request: IncomingMessage): string;
 
-	/** Whether an upstream makes the call while it runs another one; a refusal would waste that one's work. */
-	isNested(request: IncomingMessage): boolean;
-
 	/** Answers in place of an upstream. */
 	sendRefusal(response: ServerResponse, refusal: Refusal): void;
 };
@@ -45,11 +42,6 @@
 		return readHeader(request, meshHeaders.caller) ?? request.socket.remoteAddress ?? '';
 	}
 
-	isNested(): boolean {
-		// Own callers don't say so.
-		return false;
-	}
-
 	sendRefusal(response: ServerResponse, refusal: Refusal): void {
 		sendRefusal(response, refusal);
 	}
--- a/packages/callers/src/callers.ts
+++ b/packages/callers/src/callers.ts
@@ -7,11 +7,13 @@
 } from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {type Clock, type Random} from '@ebonylead/base/base.js';
+import {type DecisionLog} from '@ebonylead/base/decision-log.js';
 import {type Logger} from '@ebonylead/base/logs.js';
 import {type CallerLimits} from '@ebonylead/rules/rule-source.js';
 import {type AppliedVersion} from '@ebonylead/rules/applied-version.js';
 import {listenOn} from '@ebonylead/base/listening.js';
 import {outcomes, type Refusal} from '@ebonylead/upstreams/upstreams.js';
+import {type AttemptAges} from './attempt-ages.js';
 import {type BurnCounters} from './burn-counters.js';
 import {type CallerProtocol} from './caller-protocol.js';
 import {type CallMetrics} from './call-metrics.js';
@@ -27,6 +29,7 @@
 	readonly chooser: TargetChooser;
 	readonly pools: MeshPools;
 	readonly protocol: CallerProtocol;
+	readonly ages: AttemptAges;
 	readonly budget: RetryBudget;
 	readonly metrics: CallMetrics;
 	readonly clock: Clock;
@@ -34,6 +37,7 @@
 	readonly requestIds: RequestIds;
 	readonly burn: BurnCounters;
 	readonly log: Logger;
+	readonly decisions: DecisionLog;
 
 	/** Where this node takes calls of others; undefined where nodes don't tell each other versions on calls. */
 	readonly origin?: string;
--- a/packages/callers/src/target-chooser.ts
+++ b/packages/callers/src/target-chooser.ts
@@ -2,7 +2,8 @@
 import {pickInteger, type Clock, type Random} from '@ebonylead/base/base.js';
 import {type Member} from '@ebonylead/peers/generated/peers.js';
 import {type Membership} from '@ebonylead/peers/membership.js';
-import {type Rule} from '@ebonylead/rules/rules.js';
+import {type Route} from '@ebonylead/rules/route-table.js';
+import {outcomes, type Refusal} from '@ebonylead/upstreams/upstreams.js';
 
 /** What this node saw of one upstream. */
 type TargetState = {
@@ -16,6 +17,9 @@
 	ejections: number;
 	ejectedUntil: number;
 
+	/** Refusals for want of room by route, with the time up to which they hold. */
+	readonly full: Map<string, {readonly until: number; readonly refusal: Refusal}>;
+
 	/** Incarnation of the record, to notice a restart. */
 	incarnation: number;
 	readySince: number;
@@ -43,6 +47,10 @@
 
 /** How much less loaded, in calls for each slot, an upstream of another data centre must be: bytes between them cost. */
 const spillMargin = 0.15;
+/** Part of the wait that an upstream tells for which it counts as full, and its bounds in milliseconds: a slot comes free every few milliseconds. */
+const fullShare = 0.25;
+const minFullTime = 10;
+const maxFullTime = 40;
 const forgetAfter = 600_000;
 const sweepEvery = 10_000;
 
@@ -63,10 +71,11 @@
 	}
 
 	/** Chooses an upstream that was not tried yet, or undefined where there is none. */
-	choose(service: string, prefer: Rule['prefer'], tried: ReadonlySet<string>): Member | undefined {
+	choose(service: string, route: Route, tried: ReadonlySet<string>): Member | undefined {
 		this.#sweepSometimes();
+		const {prefer} = route.rule;
 		const ready = this.#membership.listReady(service);
-		const usable = this.#listUsable(ready, tried);
+		const usable = this.#listUsable(ready, tried).filter(member => !this.#isFull(member, route));
 		const preferred = prefer === 'any' ? usable : usable.filter(member => member.dataCentre === (prefer === 'local' ? this.#dataCentre : prefer));
 		const near = this.#pickOfTwo(preferred);
 		if (near && (preferred.length === usable.length || this.#estimateLoad(near) < spillLoad)) {
@@ -81,6 +90,28 @@
 		return this.#estimateLoad(far) + spillMargin < this.#estimateLoad(near) ? far : near;
 	}
 
+	/**
+	 * Returns the refusal for a call whose upstreams all refused calls of its
+	 * route just now for want of room; undefined where one may be asked. Under
+	 * overload this spares the hops that could only bring the same refusal.
+	 */
+	findRefusal(service: string, route: Route): Refusal | undefined {
+		const ready = this.#membership.listReady(service);
+		const refused = ready.find(member => this.#isFull(member, route));
+		return refused && this.#getState(refused).full.get(route.key)?.refusal;
+	}
+
+	/** Notes that an upstream had no room for a call of a route. */
+	recordFull(member: Member, route: Route, refusal: Refusal): void {
+		const duration = Math.min(maxFullTime, Math.max(minFullTime, (refusal.retryAfter ?? 0) * fullShare));
+		this.#getState(member).full.set(route.key, {
+			until: this.#clock.now() + duration,
+			refusal: {
+				...refusal, outcome: outcomes.notRun, hasArrived: false, reason: `all upstreams are full: ${refusal.reason}`,
+			},
+		});
+	}
+
 	/** Returns why an upstream would not be chosen now. */
 	findExclusion(member: Member, tried: ReadonlySet<string> = new Set()): ExclusionReason {
 		if (tried.has(member.id)) {
@@ -121,6 +152,11 @@
 		this.#eject(this.#getState(member));
 	}
 
+	#isFull(member: Member, route: Route): boolean {
+		const {full} = this.#getState(member);
+		return full.size > 0 && (full.get(route.key)?.until ?? 0) > this.#clock.now();
+	}
+
 	#eject(state: TargetState): void {
 		const duration = Math.min(ejectionCap, ejectionBase * (2 ** state.ejections)) * (0.5 + (this.#random.next() / 2));
 		state.ejections++;
@@ -166,7 +202,7 @@
 		let state = this.#states.get(member.id);
 		if (state === undefined) {
 			state = {
-				inFlight: 0, reportedLoad: 0, reportedAt: 0, consecutiveFailures: 0, ejections: 0, ejectedUntil: 0, incarnation: member.incarnation, readySince: this.#clock.now(),
+				inFlight: 0, reportedLoad: 0, reportedAt: 0, consecutiveFailures: 0, ejections: 0, ejectedUntil: 0, full: new Map(), incarnation: member.incarnation, readySince: this.#clock.now(),
 			};
 			this.#states.set(member.id, state);
 		} else if (state.incarnation !== member.incarnation) {
--- /dev/null
+++ b/packages/callers/src/test/attempt-ages_test.ts
@@ -0,0 +1,34 @@
+import {describe, it} from '@ebonylead/stand-ins/describe.js';
+import {AttemptAges} from '../attempt-ages.js';
+
+describe('ages of attempts', () => {
+	it('are 0 for callers whose deadlines differ a little', t => {
+		const ages = new AttemptAges();
+		for (const deadline of [2400, 2500, 2150, 2300]) {
+			t.is(ages.estimate('r', deadline), 0);
+		}
+	});
+
+	it('are the time that a returning caller has spent', t => {
+		const ages = new AttemptAges();
+		ages.estimate('r', 2500);
+		const age = ages.estimate('r', 1900);
+		t.true(age > 590 && age <= 600);
+	});
+
+	it('are learnt for each route by itself', t => {
+		const ages = new AttemptAges();
+		ages.estimate('long', 8000);
+		t.is(ages.estimate('short', 400), 0);
+	});
+
+	it('follow callers that come to set shorter deadlines', t => {
+		const ages = new AttemptAges();
+		ages.estimate('r', 2500);
+		for (let count = 0; count < 10_000; count++) {
+			ages.estimate('r', 1000);
+		}
+
+		t.is(ages.estimate('r', 1000), 0);
+	});
+});
--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -1,8 +1,10 @@
 /** Wires a node whose rules and members lie in a store that nodes share; the only module that makes its parts. */
 import {SystemClock, type Clock} from '@ebonylead/base/base.js';
 import {describeError} from '@ebonylead/base/errors.js';
+import {DecisionLog} from '@ebonylead/base/decision-log.js';
 import {createPartLogger, type Logger} from '@ebonylead/base/logs.js';
 import {SystemRandom} from '@ebonylead/base/random.js';
+import {AttemptAges} from '@ebonylead/callers/attempt-ages.js';
 import {BurnCounters} from '@ebonylead/callers/burn-counters.js';
 import {CallMetrics} from '@ebonylead/callers/call-metrics.js';
 import {type CallerProtocol} from '@ebonylead/callers/caller-protocol.js';
@@ -114,7 +116,7 @@
 		const quarantine = new Quarantine(clock);
 		const crashes = new CrashDetector(this.#link, quarantine, this.#createLog('mesh'), () => undefined);
 		this.#mesh = new MeshListener({
-			link: this.#link, quarantine, crashes, protocol: upstreamProtocol, clock, log: this.#createLog('mesh'),
+			link: this.#link, quarantine, crashes, protocol: upstreamProtocol, clock, log: this.#createLog('mesh'), decisions: new DecisionLog(this.#createLog('mesh'), clock),
 			describeState: askerVersion => this.#describeState(askerVersion),
 			getVersion: () => this.#applied.version,
 			onVersion: (version, origin) => {
@@ -139,6 +141,7 @@
 			chooser: new TargetChooser(this.#membership, settings.dataCentre, clock, random),
 			pools: this.#pools,
 			protocol: callerProtocol,
+			ages: new AttemptAges(),
 			budget: new RetryBudget(settings.retryRatio, () => settings.retrySlack / Math.max(1, this.#membership.activeCount)),
 			metrics: new CallMetrics(registry),
 			requestIds: new RequestIds(random),
@@ -146,6 +149,7 @@
 			clock,
 			random,
 			log: this.#createLog('callers'),
+			decisions: new DecisionLog(this.#createLog('callers'), clock),
 			origin: `http://${settings.host}:${settings.meshPort}`,
 			onVersion: (version, origin) => {
 				this.#peers.recordVersion(version, origin);
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -2,8 +2,10 @@
 import {setMaxListeners} from 'node:events';
 import {SystemClock, type Clock} from '@ebonylead/base/base.js';
 import {describeError} from '@ebonylead/base/errors.js';
+import {DecisionLog} from '@ebonylead/base/decision-log.js';
 import {createLogger, createPartLogger, type Logger} from '@ebonylead/base/logs.js';
 import {SystemRandom} from '@ebonylead/base/random.js';
+import {AttemptAges} from '@ebonylead/callers/attempt-ages.js';
 import {BurnCounters} from '@ebonylead/callers/burn-counters.js';
 import {CallMetrics} from '@ebonylead/callers/call-metrics.js';
 import {OwnCallerProtocol} from '@ebonylead/callers/caller-protocol.js';
@@ -113,7 +115,8 @@
 			void this.#peers.spreadSuspects(suspects);
 		});
 		this.#mesh = new MeshListener({
-			link: this.#link, quarantine: this.#quarantine, crashes, protocol: new OwnUpstreamProtocol(), clock, log: this.#createLog('mesh'),
+			link: this.#link, quarantine: this.#quarantine, crashes,
+			protocol: new OwnUpstreamProtocol(), clock, log: this.#createLog('mesh'), decisions: new DecisionLog(this.#createLog('mesh'), clock),
 		});
 		this.#watcher = new HeadWatcher({
 			selfId: node.id,
@@ -144,6 +147,7 @@
 			chooser,
 			pools: this.#pools,
 			protocol: new OwnCallerProtocol(),
+			ages: new AttemptAges(),
 			budget: new RetryBudget(),
 			metrics: new CallMetrics(this.#registry),
 			requestIds: new RequestIds(random),
@@ -151,6 +155,7 @@
 			clock,
 			random,
 			log: this.#createLog('callers'),
+			decisions: new DecisionLog(this.#createLog('callers'), clock),
 			isReady: () => this.#checkReady(),
 		});
 		const submissions = new SubmissionRunner({
--- a/packages/stand-ins/src/mesh-harness.ts
+++ b/packages/stand-ins/src/mesh-harness.ts
@@ -4,8 +4,10 @@
 } from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {SystemClock} from '@ebonylead/base/base.js';
+import {DecisionLog} from '@ebonylead/base/decision-log.js';
 import {createLogger} from '@ebonylead/base/logs.js';
 import {SeededRandom} from '@ebonylead/base/random.js';
+import {AttemptAges} from '@ebonylead/callers/attempt-ages.js';
 import {BurnCounters} from '@ebonylead/callers/burn-counters.js';
 import {CallMetrics} from '@ebonylead/callers/call-metrics.js';
 import {OwnCallerProtocol} from '@ebonylead/callers/caller-protocol.js';
@@ -73,6 +75,7 @@
 			chooser: new TargetChooser(this.membership, 'a', this.#clock, random),
 			pools: this.#pools,
 			protocol: new OwnCallerProtocol(),
+			ages: new AttemptAges(),
 			budget: new RetryBudget(),
 			metrics: new CallMetrics(new Registry()),
 			requestIds: new RequestIds(random),
@@ -80,6 +83,7 @@
 			clock: this.#clock,
 			random,
 			log,
+			decisions: new DecisionLog(log, this.#clock),
 			isReady: () => this.isReady,
 		});
 	}
@@ -116,7 +120,7 @@
 			this.#spreadSuspects(suspects);
 		});
 		const mesh = new MeshListener({
-			link, quarantine, crashes, protocol: new OwnUpstreamProtocol(), clock: this.#clock, log,
+			link, quarantine, crashes, protocol: new OwnUpstreamProtocol(), clock: this.#clock, log, decisions: new DecisionLog(log, this.#clock),
 		});
 		const place: HarnessPlace = {
 			id: `p${this.places.length}`, link, mesh, quarantine, upstream, runs: 0,
--- a/packages/upstreams/src/admission.ts
+++ b/packages/upstreams/src/admission.ts
@@ -120,6 +120,11 @@
 		return this.#queue.length;
 	}
 
+	/** What estimates rest on, for the log: the mean time of a call in milliseconds, and the slots. */
+	get estimates(): {readonly mean: number; readonly slots: number} {
+		return {mean: Math.round(this.#times.mean), slots: this.#slots};
+	}
+
 	/** Changes the count of slots; calls that run are left alone. */
 	setSlots(slots: number): void {
 		this.#slots = slots;
@@ -148,7 +153,7 @@
 		const isAtOnce = this.#queue.length === 0 && this.#hasSlot(request);
 		const end = this.#clock.now() + (isAtOnce ? 0 : this.#estimateWait(request)) + this.#times.estimate(request.route);
 		if (end > request.deadline) {
-			return this.#buildRefusal(request, 'no slot comes free before the deadline');
+			return this.#buildRefusal(request, 'no slot comes free before the deadline', true);
 		}
 
 		if (isAtOnce) {
@@ -157,7 +162,7 @@
 
 		const isSpare = end > request.objective;
 		if (isSpare && this.#countSpare() >= this.#slots * lateQueuePerSlot) {
-			return this.#buildRefusal(request, 'no slot comes free in time for the objective');
+			return this.#buildRefusal(request, 'no slot comes free in time for the objective', true);
 		}
 
 		return this.#wait(request, isSpare);
@@ -345,7 +350,7 @@
 	#estimateWait(request: AdmissionRequest): number {
 		let work = this.#times.mean;
 		for (const waiting of this.#queue) {
-			work += waiting.request.rank <= request.rank ? this.#times.estimate(waiting.request.route) : 0;
+			work += this.#isBefore(waiting, request) ? this.#times.estimate(waiting.request.route) : 0;
 		}
 
 		const slots = Math.max(1, this.#slots);
@@ -353,12 +358,17 @@
 		return work / free;
 	}
 
-	#buildRefusal(request: AdmissionRequest, reason: string): Admission {
+	/** Whether a call that waits goes before a new one. */
+	#isBefore({request, isSpare}: Waiting, other: AdmissionRequest): boolean {
+		return request.rank < other.rank || (request.rank === other.rank && !isSpare && request.objective <= other.objective);
+	}
+
+	#buildRefusal(request: AdmissionRequest, reason: string, isFull = false): Admission {
 		const retryAfter = Math.max(minRetryAfter, Math.ceil(this.#estimateWait(request)));
 		return {
 			kind: 'refused',
 			refusal: {
-				status: statusUnavailable, outcome: outcomes.notRun, reason, retryAfter,
+				status: statusUnavailable, outcome: outcomes.notRun, reason, retryAfter, isFull,
 			},
 		};
 	}
--- a/packages/upstreams/src/mesh-call.ts
+++ b/packages/upstreams/src/mesh-call.ts
@@ -256,6 +256,21 @@
 			}
 		}
 
+		const {decisions, link, protocol, clock} = this.#parts;
+		decisions.record({
+			id: protocol.readRequestId(this.#request.headers),
+			service: link.status.value.service,
+			instance: link.instance,
+			outcome: refusal.outcome,
+			reason: refusal.reason,
+			rank: readNumber(this.#request, meshHeaders.priority),
+			objective: readNumber(this.#request, meshHeaders.objective),
+			running: link.admission.running,
+			waiting: link.admission.waiting,
+			estimates: link.admission.estimates,
+			deadline: this.#deadline,
+			duration: Math.round(clock.now() - this.#startedAt),
+		}, 'Refused a call of another node');
 		sendRefusal(this.#response, refusal);
 		this.#request.resume();
 	}
--- a/packages/upstreams/src/mesh-listener.ts
+++ b/packages/upstreams/src/mesh-listener.ts
@@ -5,6 +5,7 @@
 } from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {type Clock} from '@ebonylead/base/base.js';
+import {type DecisionLog} from '@ebonylead/base/decision-log.js';
 import {type Logger} from '@ebonylead/base/logs.js';
 import {listenOn} from '@ebonylead/base/listening.js';
 import {type CrashDetector} from './crash-detector.js';
@@ -23,6 +24,7 @@
 	readonly protocol: UpstreamProtocol;
 	readonly clock: Clock;
 	readonly log: Logger;
+	readonly decisions: DecisionLog;
 
 	/** Answers a node that asks for the state of this one, given the version in force there. */
 	readonly describeState?: (askerVersion: number) => unknown;
--- a/packages/upstreams/src/refusals.ts
+++ b/packages/upstreams/src/refusals.ts
@@ -37,6 +37,10 @@
 		headers[meshHeaders.arrived] = '1';
 	}
 
+	if (refusal.isFull) {
+		headers[meshHeaders.full] = '1';
+	}
+
 	response.writeHead(refusal.status, headers);
 	response.end(body);
 }
--- a/packages/upstreams/src/upstream-protocol.ts
+++ b/packages/upstreams/src/upstream-protocol.ts
@@ -28,6 +28,9 @@
 
 /** Speaks to upstreams. */
 export type UpstreamProtocol = {
+	/** Returns the identity of a request, or undefined where it has none. */
+	readRequestId(headers: AnswerHeaders): string | undefined;
+
 	/** Sets the headers of a request, which start as a copy of the caller's. */
 	setRequestHeaders(headers: Record<string, string | string[]>, call: UpstreamCall): void;
 
@@ -37,6 +40,10 @@
 
 /** The product's own protocol: every complete answer is the upstream's. */
 export class OwnUpstreamProtocol implements UpstreamProtocol {
+	readRequestId(headers: AnswerHeaders): string | undefined {
+		return String(headers[meshHeaders.requestId]);
+	}
+
 	setRequestHeaders(headers: Record<string, string | string[]>, call: UpstreamCall): void {
 		headers[meshHeaders.deadline] = String(Math.floor(call.timeLeft));
 		headers[meshHeaders.attempt] = call.attempt;
--- a/packages/upstreams/src/upstreams.ts
+++ b/packages/upstreams/src/upstreams.ts
@@ -29,6 +29,9 @@
 	/** `1` on a refusal that comes from the upstream itself, so that the call arrived there. */
 	arrived: 'x-ebonylead-arrived',
 
+	/** `1` on a refusal for want of room. */
+	full: 'x-ebonylead-full',
+
 	/** Key of the rule that matched. */
 	route: 'x-ebonylead-route',
 
@@ -86,6 +89,9 @@
 
 	/** Whether the call arrived at an upstream, which refused it. */
 	readonly hasArrived?: boolean;
+
+	/** Whether there was no room for the call. */
+	readonly isFull?: boolean;
 };
 
 /** What an upstream announces. */
