Judge short calls by their deadline, and give up silent connections to nodes sooner

Change: a call with at most 500 ms left is judged by its deadline; connections to nodes are given up after 300 ms, and the node is not asked for a while; the row of a stopping node keeps its upstream; a stop that hangs ends by itself.

--- a/packages/callers/src/call.ts
+++ b/packages/callers/src/call.ts
@@ -31,6 +31,9 @@
 const maxProgressTimeout = 800;
 const minProgressTimeout = 300;
 const progressShare = 0.5;
+
+/** Time in milliseconds after which a node that took no connection counts as unreachable, though the call ended meanwhile. */
+const unreachableTime = 150;
 const defaultRetryAfter = 200;
 const percentTotal = 100;
 
@@ -305,7 +308,8 @@
 		const isFailure = result.kind === 'unsent' || result.kind === 'unanswered' || result.kind === 'cut';
 		const load = 'headers' in result ? Number(result.headers[meshHeaders.load]) : undefined;
 		chooser.recordEnd(member, isFailure && !this.#cancellation.isCancelled, load);
-		if (result.kind === 'unsent' && !this.#cancellation.isCancelled) {
+		const isUnreachable = !this.#cancellation.isCancelled || Date.now() - startedAt > unreachableTime;
+		if (result.kind === 'unsent' && isUnreachable) {
 			chooser.recordUnreachable(member);
 		}
 
--- a/packages/callers/src/mesh-pools.ts
+++ b/packages/callers/src/mesh-pools.ts
@@ -3,7 +3,9 @@
 
 /** Most connections to one node. */
 const maxConnections = 130;
-const connectTimeout = 1000;
+
+/** Time in milliseconds for a new connection; nodes are a few milliseconds apart, and a call that finds no connection goes elsewhere. */
+const connectTimeout = 300;
 
 /** Shorter than the time after which the other node closes an idle connection. */
 const keepAliveTime = 60_000;
--- a/packages/node/src/member-directory.ts
+++ b/packages/node/src/member-directory.ts
@@ -2,7 +2,7 @@
 import {type Clock} from '@ebonylead/base/base.js';
 import {describeError} from '@ebonylead/base/errors.js';
 import {type Logger} from '@ebonylead/base/logs.js';
-import {MemberState, type Member} from '@ebonylead/peers/generated/peers.js';
+import {MemberState, UpstreamState, type Member} from '@ebonylead/peers/generated/peers.js';
 import {type Membership} from '@ebonylead/peers/membership.js';
 import {type RowStore, type SharedRow} from '@ebonylead/store/row-store.js';
 import {TableFollower} from '@ebonylead/store/table-follower.js';
@@ -131,7 +131,9 @@
 
 	async #writeOnce(): Promise<void> {
 		const wanted = this.#self;
-		const value = wanted.state === MemberState.LEFT ? undefined : encodeMember(wanted, this.#upstream);
+		const isGone = wanted.state === MemberState.LEFT && wanted.upstreamState !== UpstreamState.READY;
+		// A node that stops beside a working upstream comes back; its row keeps what it knew.
+		const value = isGone ? undefined : encodeMember(wanted, this.#upstream);
 		const outcome = await this.#parts.store.writeRow(memberTable, wanted.id, value, this.#revision);
 		this.#revision = outcome.revision;
 		if (outcome.kind === 'conflict') {
--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -70,7 +70,7 @@
 const stillServingTime = 3000;
 
 /** Part of the stop timeout that is kept for closing, in milliseconds. */
-const closingReserve = 400;
+const closingReserve = 700;
 
 /** Longest wait in milliseconds for the store to take the row of a stopping node. */
 const leaveNoticeTime = 500;
@@ -190,7 +190,7 @@
 		this.#log.info({open: this.#openCount}, 'Stops');
 		this.#link.admission.close();
 		this.#callers.startClosing();
-		await this.#directory.change({state: MemberState.LEFT, upstreamState: UpstreamState.ABSENT}, leaveNoticeTime);
+		await this.#directory.change({state: MemberState.LEFT}, leaveNoticeTime);
 		const end = startedAt + this.#parts.settings.stopTimeout - closingReserve;
 		await this.#clock.sleep(startedAt + stillServingTime - this.#clock.now());
 		this.#callers.refuseNew();
--- a/packages/node/src/test/member-directory_test.ts
+++ b/packages/node/src/test/member-directory_test.ts
@@ -87,9 +87,19 @@
 			});
 		});
 
-		it('is removed when the node leaves', async t => {
+		it('keeps the upstream when only the node stops', async t => {
 			const store = new FakeRowStore();
 			await withDirectory(store, async directory => {
+				await directory.change({}, waitLimit, upstream);
+				await directory.change({state: MemberState.LEFT}, waitLimit);
+				t.like(JSON.parse(store.readValue(memberTable, 'n1')!), {state: MemberState.LEFT, upstream});
+			});
+		});
+
+		it('is removed when the node leaves with its upstream', async t => {
+			const store = new FakeRowStore();
+			await withDirectory(store, async directory => {
+				await directory.change({upstreamState: UpstreamState.DRAINING}, waitLimit);
 				await directory.change({state: MemberState.LEFT}, waitLimit);
 				t.is(store.readValue(memberTable, 'n1'), undefined);
 			});
--- a/packages/upstreams/src/admission.ts
+++ b/packages/upstreams/src/admission.ts
@@ -55,6 +55,9 @@
 /** Calls that may wait for each slot although an answer would come after its objective: they fill slots that would be idle. */
 const lateQueuePerSlot = 0.25;
 
+/** Longest time in milliseconds that a call may have left to count as short: calls between services have about that, callers a second or more. */
+const shortCallTime = 500;
+
 /** A call that waits is refused this long before its deadline, in milliseconds, so that the refusal arrives in time. */
 const minRefusalMargin = 20;
 
@@ -160,7 +163,7 @@
 			return this.#admit(request);
 		}
 
-		const isSpare = end > request.objective;
+		const isSpare = end > request.objective && !this.#isShort(request);
 		if (isSpare && this.#countSpare() >= this.#slots * lateQueuePerSlot) {
 			return this.#buildRefusal(request, 'no slot comes free in time for the objective', true);
 		}
@@ -342,6 +345,16 @@
 		return isSpare || this.#clock.now() + this.#times.estimate(request.route) > request.objective;
 	}
 
+	/**
+	 * Whether the call has to end so soon that it can't hold others up for long.
+	 * Such calls are mostly made by upstreams that are at work, whose time is
+	 * wasted by a refusal, so that only their deadline counts.
+	 */
+	#isShort({deadline, objective}: AdmissionRequest): boolean {
+		const now = this.#clock.now();
+		return deadline - now <= shortCallTime && objective > now + 1;
+	}
+
 	#countSpare(): number {
 		return this.#queue.filter(waiting => waiting.isSpare).length;
 	}
--- a/packages/upstreams/src/test/admission_test.ts
+++ b/packages/upstreams/src/test/admission_test.ts
@@ -220,6 +220,17 @@
 			t.is(late.result?.kind, 'admitted');
 		});
 
+		it('judges a short call by its deadline, as an upstream waits for it', async t => {
+			const clock = new FakeClock();
+			const {control} = await createBusy(clock, 1, 100);
+			follow(control, ask({objective: clock.now() + 50}));
+			const short = follow(control, ask({objective: clock.now() + 120, deadline: clock.now() + 400}));
+			const long = follow(control, ask({objective: clock.now() + 120}));
+			await settle();
+			t.is(short.result, undefined);
+			t.is(long.result?.kind, 'refused');
+		});
+
 		it('gives up a call of the worst rank when the queue is full', async t => {
 			const {control} = await createBusy(new FakeClock(), 1, 1);
 			const reports = Array.from({length: 4}, () => follow(control, ask({rank: 2})));
