Answer all open calls before a stopping node closes

Change: at the end of its time a stopping node ends all open calls with an answer of its own, and closes only then. Test: the call of an entry that stops gets 504 in place of a closed connection.

--- a/packages/callers/src/call.ts
+++ b/packages/callers/src/call.ts
@@ -100,6 +100,11 @@
 		});
 	}
 
+	/** Ends the call with an answer of this node. */
+	cancel(reason: Error): void {
+		this.#cancellation.cancel(reason);
+	}
+
 	async #runRoute(target: RequestTarget): Promise<void> {
 		const route = this.#applied.routes.findRoute({method: this.#request.method ?? 'GET', headers: this.#request.headers, ...target});
 		if (route === undefined) {
--- a/packages/callers/src/callers.ts
+++ b/packages/callers/src/callers.ts
@@ -60,6 +60,7 @@
 export class CallerListener {
 	readonly #parts: CallerParts;
 	readonly #server: Server;
+	readonly #calls = new Set<Call>();
 	#open = 0;
 	#limits: CallerLimits | undefined;
 	#isClosing = false;
@@ -108,6 +109,13 @@
 		this.#isRefusing = true;
 	}
 
+	/** Ends all open calls with an answer of this node: callers must not be left with a closed connection. */
+	cancelOpen(reason: string): void {
+		for (const call of this.#calls) {
+			call.cancel(new Error(reason));
+		}
+	}
+
 	/** Takes no new connections, and closes the idle ones. */
 	close(): void {
 		this.#server.close();
@@ -133,12 +141,21 @@
 				return;
 			}
 
-			await new Call(this.#parts, request, response).run();
+			await this.#runCall(new Call(this.#parts, request, response));
 		} finally {
 			this.#open--;
 		}
 	}
 
+	async #runCall(call: Call): Promise<void> {
+		this.#calls.add(call);
+		try {
+			await call.run();
+		} finally {
+			this.#calls.delete(call);
+		}
+	}
+
 	#findRefusal(request: IncomingMessage): Refusal | undefined {
 		if (this.#isRefusing) {
 			return {
--- a/packages/callers/src/test/faulty-call_test.ts
+++ b/packages/callers/src/test/faulty-call_test.ts
@@ -3,7 +3,7 @@
 import {describe, it} from '@ebonylead/stand-ins/describe.js';
 import {type MeshHarness} from '@ebonylead/stand-ins/mesh-harness.js';
 import {
-	answerWith, call, expectAnswer, sendRaw, withHarness, type Answer,
+	answerWith, call, expectAnswer, sendRaw, settle, withHarness, type Answer,
 } from './call-helpers.js';
 
 describe('faulty calls', () => {
@@ -173,4 +173,16 @@
 			});
 		});
 	});
+
+	describe('at an entry that stops', () => {
+		it('get an answer of the node in place of a closed connection', async t => {
+			await withHarness(async harness => {
+				const place = await harness.addPlace(() => undefined);
+				const pending = call(harness, 'GET', '/x');
+				await settle(() => place.runs === 1);
+				harness.cancelOpenCalls();
+				await expectAnswer(t, pending, {status: 504, outcome: 'unknown'});
+			});
+		});
+	});
 });
--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -70,10 +70,13 @@
 const stillServingTime = 3000;
 
 /** Part of the stop timeout that is kept for closing, in milliseconds. */
-const closingReserve = 700;
+const closingReserve = 800;
 
 /** Longest wait in milliseconds for the store to take the row of a stopping node. */
 const leaveNoticeTime = 500;
+
+/** Time in milliseconds in which the last answers leave. */
+const lastAnswersTime = 150;
 const openPollPeriod = 20;
 const instanceLimit = 0x1_00_00_00_00;
 
@@ -199,6 +202,8 @@
 		}
 
 		const cut = this.#openCount;
+		this.#callers.cancelOpen('this node stops');
+		await this.#clock.sleep(lastAnswersTime);
 		this.#log.info({cut, duration: Math.round(this.#clock.now() - startedAt)}, 'Stopped');
 		await this.close();
 		return cut;
--- a/packages/stand-ins/src/mesh-harness.ts
+++ b/packages/stand-ins/src/mesh-harness.ts
@@ -135,6 +135,11 @@
 		return place;
 	}
 
+	/** Ends the calls that are open at the entry. */
+	cancelOpenCalls(): void {
+		this.#entry.cancelOpen('this node stops');
+	}
+
 	/** Closes everything. */
 	async stop(): Promise<void> {
 		this.#entry.close();
