Split the call into smaller modules

Change: the headers of a try, the pick of a service and the reading of refusals stand in modules of their own; a call without a route gets its log line too. Conclusion: no change of what callers get.

--- a/packages/callers/src/call.ts
+++ b/packages/callers/src/call.ts
@@ -11,6 +11,9 @@
 import {readBody, type RequestBody} from '@ebonylead/upstreams/request-body.js';
 import {readCount} from '@ebonylead/upstreams/request-headers.js';
 import {meshHeaders, outcomes, type Refusal} from '@ebonylead/upstreams/upstreams.js';
+import {pickService} from './service-split.js';
+import {readRefusal} from './refusal-reader.js';
+import {setTryHeaders} from './try-headers.js';
 import {callResults, type CallResult} from './call-metrics.js';
 import {type CallerParts} from './callers.js';
 import {type RequestTarget} from './request-target.js';
@@ -35,7 +38,6 @@
 /** Time in milliseconds after which a node that took no connection counts as unreachable, though the call ended meanwhile. */
 const unreachableTime = 150;
 const defaultRetryAfter = 200;
-const percentTotal = 100;
 
 const statusBadRequest = 400;
 const statusNotFound = 404;
@@ -109,10 +111,11 @@
 		const route = this.#applied.routes.findRoute({method: this.#request.method ?? 'GET', headers: this.#request.headers, ...target});
 		if (route === undefined) {
 			this.#refuse({status: statusNotFound, outcome: outcomes.notRun, reason: `no rule of version ${this.#version} matches ${this.#request.method} ${target.host}${target.path}`});
+			this.#logEnd(undefined);
 			return;
 		}
 
-		this.#service = this.#pickService(route);
+		this.#service = pickService(route, this.#parts.random);
 		const callerDeadline = this.#parts.protocol.readDeadline(this.#request) ?? route.rule.deadline;
 		this.#age = this.#parts.ages.estimate(route.key, callerDeadline);
 		this.#deadline = Math.min(route.rule.deadline, callerDeadline);
@@ -131,7 +134,7 @@
 	}
 
 	/** One line for each call that did not end with an answer of an upstream that the caller can use. */
-	#logEnd(route: Route): void {
+	#logEnd(route: Route | undefined): void {
 		const {decisions, protocol, clock} = this.#parts;
 		if (this.#result === callResults.answered && this.#response.statusCode < firstServerError) {
 			return;
@@ -139,7 +142,7 @@
 
 		decisions.record({
 			id: protocol.readRequestId(this.#request),
-			route: route.key,
+			route: route?.key,
 			age: Math.round(this.#age),
 			version: this.#version,
 			service: this.#service,
@@ -329,56 +332,20 @@
 		}
 	}
 
-	/** Sets the headers of a try. Few headers, as each costs time at both ends: defaults are left out. */
 	#buildHeaders(route: Route, attempt: number): Record<string, string | string[]> {
-		const headers = this.#headers;
-		const left = Math.max(1, Math.floor(this.#timeLeft));
-		headers[meshHeaders.deadline] = String(left);
-		if (route.rule.objective !== undefined) {
-			headers[meshHeaders.objective] = String(Math.max(1, Math.floor(route.rule.objective - this.#age - (this.#parts.clock.now() - this.#startedAt))));
-		}
-
-		if (route.rule.priority !== undefined) {
-			headers[meshHeaders.priority] = String(route.rule.priority);
-		}
-
-		if (attempt > 1) {
-			headers[meshHeaders.attempt] = String(attempt);
-		}
-
-		if (this.#crashes > 0) {
-			headers[meshHeaders.suspect] = String(this.#crashes);
-		}
-
-		headers[meshHeaders.service] = this.#service;
-		if (this.#parts.origin !== undefined) {
-			headers[meshHeaders.origin] = this.#parts.origin;
-			headers[meshHeaders.version] = String(this.#parts.applied.version);
-		}
-
-		headers[meshHeaders.route] = route.key;
-		if (route.rule.slots !== undefined) {
-			headers[meshHeaders.routeSlots] = String(route.rule.slots);
-		}
-
-		return headers;
-	}
-
-	#pickService(route: Route): string {
-		const {split} = route.rule;
-		if (split.length === 1) {
-			return split[0]!.service;
-		}
-
-		let point = this.#parts.random.next() * percentTotal;
-		for (const share of split) {
-			point -= share.weight;
-			if (point < 0) {
-				return share.service;
-			}
-		}
-
-		return split.at(-1)!.service;
+		const {rule} = route;
+		const spent = this.#age + this.#parts.clock.now() - this.#startedAt;
+		setTryHeaders(this.#headers, {
+			route,
+			attempt,
+			service: this.#service,
+			crashes: this.#crashes,
+			timeLeft: this.#timeLeft,
+			objectiveLeft: rule.objective === undefined ? undefined : rule.objective - spent,
+			origin: this.#parts.origin,
+			version: this.#parts.applied.version,
+		});
+		return this.#headers;
 	}
 
 	async #readBody(): Promise<RequestBody> {
@@ -424,17 +391,3 @@
 		}
 	};
 }
-
-/** Reads a refusal of the second hop, or makes one of an upstream's failure. */
-function readRefusal(status: number, headers: AnswerHeaders): Refusal {
-	const outcome = headers[meshHeaders.outcome] === outcomes.notRun ? outcomes.notRun : outcomes.unknown;
-	const retryAfter = Number(headers[meshHeaders.retryAfter]);
-	return {
-		status,
-		outcome,
-		hasArrived: headers[meshHeaders.arrived] !== undefined,
-		isFull: headers[meshHeaders.full] !== undefined,
-		reason: String(headers[meshHeaders.reason] ?? `the upstream answered with status ${status}`),
-		retryAfter: retryAfter > 0 ? retryAfter : undefined,
-	};
-}
--- /dev/null
+++ b/packages/callers/src/refusal-reader.ts
@@ -0,0 +1,17 @@
+/** Reads the refusals of nodes beside upstreams. */
+import {type AnswerHeaders} from '@ebonylead/upstreams/forward.js';
+import {meshHeaders, outcomes, type Refusal} from '@ebonylead/upstreams/upstreams.js';
+
+/** Reads a refusal of the second hop, or makes one of an upstream's failure. */
+export function readRefusal(status: number, headers: AnswerHeaders): Refusal {
+	const outcome = headers[meshHeaders.outcome] === outcomes.notRun ? outcomes.notRun : outcomes.unknown;
+	const retryAfter = Number(headers[meshHeaders.retryAfter]);
+	return {
+		status,
+		outcome,
+		hasArrived: headers[meshHeaders.arrived] !== undefined,
+		isFull: headers[meshHeaders.full] !== undefined,
+		reason: String(headers[meshHeaders.reason] ?? `the upstream answered with status ${status}`),
+		retryAfter: retryAfter > 0 ? retryAfter : undefined,
+	};
+}
