--- /dev/null
+++ b/packages/node/src/test/peer-state_test.ts
@@ -0,0 +1,123 @@
+import {createServer} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {SystemClock} from '@ebonylead/base/base.js';
+import {createLogger} from '@ebonylead/base/logs.js';
+import {SeededRandom} from '@ebonylead/base/random.js';
+import {MemberState, UpstreamState, type Member} from '@ebonylead/peers/generated/peers.js';
+import {Membership} from '@ebonylead/peers/membership.js';
+import {describe, it} from '@ebonylead/stand-ins/describe.js';
+import {PeerFollower, type PeerFollowerParts} from '../peer-state.js';
+
+const host = '127.0.0.1';
+const waitLimit = 5000;
+const peerVersion = 7;
+
+function createMember(id: string, meshPort: number): Member {
+	return {
+		id, incarnation: 1, dataCentre: 'a', region: 'r', host, peerPort: 1, meshPort, state: MemberState.ALIVE, service: 's', upstreamState: UpstreamState.READY, slots: 1, instance: 1,
+	};
+}
+
+type Follower = {
+	readonly follower: PeerFollower;
+	readonly origin: string;
+	readonly getVersion: () => number;
+	readonly getAsked: () => number;
+};
+
+/** Runs a follower beside a peer that has a later version. */
+async function withFollower(change: Partial<PeerFollowerParts>, run: (parts: Follower) => Promise<void>): Promise<void> {
+	let version = 1;
+	let asked = 0;
+	const peer = createServer((_request, response) => {
+		asked++;
+		response.end(JSON.stringify({rules: {snapshot: {version: peerVersion, rules: []}}, members: []}));
+	});
+	await new Promise<void>(resolve => {
+		peer.listen(0, host, resolve);
+	});
+	const {port} = peer.address() as AddressInfo;
+	const membership = new Membership();
+	membership.merge([createMember('n2', port)], 0);
+	const controller = new AbortController();
+	const follower = new PeerFollower({
+		self: createMember('n1', port),
+		seedHosts: [],
+		membership,
+		clock: new SystemClock(),
+		random: new SeededRandom(1),
+		log: createLogger('silent'),
+		isStoreLost: () => false,
+		getVersion: () => version,
+		onState(state) {
+			version = state.rules?.snapshot.version ?? version;
+		},
+		...change,
+	});
+	const running = follower.run(controller.signal);
+	try {
+		await run({
+			follower, origin: `http://${host}:${port}`, getVersion: () => version, getAsked: () => asked,
+		});
+	} finally {
+		controller.abort();
+		await running;
+		peer.closeAllConnections();
+		peer.close();
+	}
+}
+
+async function waitFor(check: () => boolean): Promise<void> {
+	const end = Date.now() + waitLimit;
+	while (!check()) {
+		if (Date.now() > end) {
+			throw new Error('the check did not come to hold');
+		}
+
+		await new Promise(resolve => {
+			setTimeout(resolve, 1);
+		});
+	}
+}
+
+describe('peer follower', () => {
+	it('asks a peer while the store does not answer', async t => {
+		await withFollower({isStoreLost: () => true}, async ({getVersion}) => {
+			await waitFor(() => getVersion() === peerVersion);
+			t.pass();
+		});
+	});
+
+	it('asks the node whose call told of a later version, though the store seems well', async t => {
+		await withFollower({}, async ({follower, origin, getVersion}) => {
+			follower.recordVersion(peerVersion, origin);
+			await waitFor(() => getVersion() === peerVersion);
+			t.pass();
+		});
+	});
+
+	it('asks another peer where that node does not answer', async t => {
+		await withFollower({}, async ({follower, getVersion}) => {
+			follower.recordVersion(peerVersion, `http://${host}:1`);
+			await waitFor(() => getVersion() === peerVersion);
+			t.pass();
+		});
+	});
+
+	it('asks a seed where it knows no member and the store does not answer', async t => {
+		await withFollower({isStoreLost: () => true, membership: new Membership(), seedHosts: [host]}, async ({getVersion}) => {
+			await waitFor(() => getVersion() === peerVersion);
+			t.pass();
+		});
+	});
+
+	it('asks nobody while there is nothing to learn', async t => {
+		await withFollower({}, async ({follower, origin, getAsked}) => {
+			follower.recordVersion(1, origin);
+			await new Promise(resolve => {
+				setTimeout(resolve, 600);
+			});
+			t.is(getAsked(), 0);
+		});
+	});
+});
