--- a/packages/upstreams/src/upstream-protocol.ts
+++ b/packages/upstreams/src/upstream-protocol.ts
@@ -41,7 +41,8 @@
 /** The product's own protocol: every complete answer is the upstream's. */
 export class OwnUpstreamProtocol implements UpstreamProtocol {
 	readRequestId(headers: AnswerHeaders): string | undefined {
-		return String(headers[meshHeaders.requestId]);
+		const id = headers[meshHeaders.requestId];
+		return Array.isArray(id) ? id[0] : id;
 	}
 
 	setRequestHeaders(headers: Record<string, string | string[]>, call: UpstreamCall): void {
