Judge silent and unreachable nodes by the steady clock

Cause: the entry decided by the time of day whether a node took no connection for 150 ms, and whether connections had gone silent. A step of that clock retired sound connections or kept silent ones.

Change: both take the monotonic clock that the rest of the call uses; so do the durations in the log lines.

The added tests judge by a clock of their own; the first fails on the code before, which compared with the time of day.

--- a/packages/callers/src/call.ts
+++ b/packages/callers/src/call.ts
@@ -214,7 +214,7 @@
 
 		this.#tried.add(member.id);
 		chooser.recordStart(member);
-		const startedAt = Date.now();
+		const startedAt = this.#parts.clock.now();
 		const origin = `http://${member.host}:${member.meshPort}`;
 		const result = await forwardRequest({
 			dispatcher: pools.open(origin),
@@ -232,7 +232,7 @@
 		});
 		this.#recordEnd(member, origin, startedAt, result);
 		const detail = 'error' in result ? describeError(result.error) : String('headers' in result ? result.headers[meshHeaders.reason] ?? result.status : result.reason);
-		this.#steps.push(`${member.id} r${member.incarnation} ${result.kind} after ${Date.now() - startedAt} ms: ${detail}`);
+		this.#steps.push(`${member.id} r${member.incarnation} ${result.kind} after ${Math.round(this.#parts.clock.now() - startedAt)} ms: ${detail}`);
 		return this.#decide(route, member, result);
 	}
 
@@ -316,7 +316,7 @@
 		const isFailure = result.kind === 'unsent' || result.kind === 'unanswered' || result.kind === 'cut';
 		const load = 'headers' in result ? Number(result.headers[meshHeaders.load]) : undefined;
 		chooser.recordEnd(member, isFailure && !this.#cancellation.isCancelled, load);
-		const isUnreachable = !this.#cancellation.isCancelled || Date.now() - startedAt > unreachableTime;
+		const isUnreachable = !this.#cancellation.isCancelled || this.#parts.clock.now() - startedAt > unreachableTime;
 		if (result.kind === 'unsent' && isUnreachable) {
 			chooser.recordUnreachable(member);
 		}
--- a/packages/callers/src/mesh-pools.ts
+++ b/packages/callers/src/mesh-pools.ts
@@ -1,4 +1,5 @@
 /** Connections to the nodes beside upstreams, one pool for each. */
+import {type Clock} from '@ebonylead/base/base.js';
 import {Pool} from 'undici';
 
 /** Most connections to one node. */
@@ -22,10 +23,12 @@
 
 /** Opens pools on demand, retires those that went silent, and closes idle ones. */
 export class MeshPools {
+	readonly #clock: Clock;
 	readonly #entries = new Map<string, Entry>();
 	readonly #sweeper: NodeJS.Timeout;
 
-	constructor() {
+	constructor(clock: Clock) {
+		this.#clock = clock;
 		this.#sweeper = setInterval(() => {
 			this.#closeIdle();
 		}, sweepPeriod);
@@ -41,7 +44,7 @@
 	open(origin: string): Pool {
 		const entry = this.#entries.get(origin);
 		if (entry) {
-			entry.usedAt = Date.now();
+			entry.usedAt = this.#clock.now();
 			return entry.pool;
 		}
 
@@ -52,7 +55,7 @@
 			keepAliveMaxTimeout: keepAliveTime,
 			connect: {timeout: connectTimeout},
 		});
-		this.#entries.set(origin, {pool, usedAt: Date.now(), answeredAt: 0});
+		this.#entries.set(origin, {pool, usedAt: this.#clock.now(), answeredAt: Number.NEGATIVE_INFINITY});
 		return pool;
 	}
 
@@ -60,7 +63,7 @@
 	recordAnswer(origin: string): void {
 		const entry = this.#entries.get(origin);
 		if (entry) {
-			entry.answeredAt = Date.now();
+			entry.answeredAt = this.#clock.now();
 		}
 	}
 
@@ -72,7 +75,7 @@
 	 * the two ends may have lost track of all of them. New calls get new
 	 * connections; calls on the old ones may end there.
 	 *
-	 * @param since Wall time in milliseconds.
+	 * @param since Monotonic time in milliseconds.
 	 * @returns Whether the connections were retired.
 	 */
 	retireIfSilent(origin: string, since: number): boolean {
@@ -93,7 +96,7 @@
 	}
 
 	#closeIdle(): void {
-		const limit = Date.now() - idleLimit;
+		const limit = this.#clock.now() - idleLimit;
 		for (const [origin, {pool, usedAt}] of this.#entries) {
 			if (usedAt < limit) {
 				this.#entries.delete(origin);
--- /dev/null
+++ b/packages/callers/src/test/mesh-pools_test.ts
@@ -0,0 +1,30 @@
+import {describe, it} from '@ebonylead/stand-ins/describe.js';
+import {FakeClock} from '@ebonylead/stand-ins/fake-clock.js';
+import {MeshPools} from '../mesh-pools.js';
+
+const origin = 'http://127.0.0.1:1';
+
+describe('mesh pools', () => {
+	describe('judge silence by the clock that they are given', () => {
+		it('and retire connections that brought no answer since a time', async t => {
+			const clock = new FakeClock();
+			const pools = new MeshPools(clock);
+			const pool = pools.open(origin);
+			await clock.advance(100);
+			pools.recordAnswer(origin);
+			t.true(pools.retireIfSilent(origin, 150));
+			t.not(pools.open(origin), pool);
+			await pools.close();
+		});
+
+		it('and keep those that brought one', async t => {
+			const clock = new FakeClock();
+			const pools = new MeshPools(clock);
+			pools.open(origin);
+			await clock.advance(100);
+			pools.recordAnswer(origin);
+			t.false(pools.retireIfSilent(origin, 50));
+			await pools.close();
+		});
+	});
+});
--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -91,7 +91,7 @@
 	readonly #controller = new AbortController();
 	readonly #applied = new AppliedVersion();
 	readonly #membership = new Membership();
-	readonly #pools = new MeshPools();
+	readonly #pools = new MeshPools(this.#clock);
 	readonly #link: UpstreamLink;
 	readonly #directory: MemberDirectory;
 	readonly #mesh: MeshListener;
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -76,7 +76,7 @@
 	readonly #quarantine = new Quarantine(this.#clock);
 	readonly #burn = new BurnCounters(this.#clock);
 	readonly #transport = new GrpcTransport();
-	readonly #pools = new MeshPools();
+	readonly #pools = new MeshPools(this.#clock);
 	readonly #platform: HttpStore;
 	readonly #peers: PeerNode;
 	readonly #peerServer: GrpcServer;
--- a/packages/stand-ins/src/mesh-harness.ts
+++ b/packages/stand-ins/src/mesh-harness.ts
@@ -64,7 +64,7 @@
 	readonly membership = new Membership();
 	readonly places: HarnessPlace[] = [];
 	readonly #clock = new SystemClock();
-	readonly #pools = new MeshPools();
+	readonly #pools = new MeshPools(this.#clock);
 	readonly #entry: CallerListener;
 	#version = 0;
 
