Count refusals by cause, and take calls of up to 700 ms for short

Cause: the metrics told only how calls ended, not why a node refused. And calls between services have up to 650 ms on larger sites, which the bound of 500 ms did not cover; callers have 800 ms and more.

Change: each refusal of the second hop carries a cause, counted with its outcome. Short calls are those of up to 700 ms.

--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -22,6 +22,7 @@
 import {CrashDetector} from '@ebonylead/upstreams/crash-detector.js';
 import {MeshListener} from '@ebonylead/upstreams/mesh-listener.js';
 import {Quarantine} from '@ebonylead/upstreams/quarantine.js';
+import {RefusalMetrics} from '@ebonylead/upstreams/refusal-metrics.js';
 import {UpstreamLink} from '@ebonylead/upstreams/upstream-link.js';
 import {type UpstreamProtocol} from '@ebonylead/upstreams/upstream-protocol.js';
 import {type Registry} from 'prom-client';
@@ -119,7 +120,14 @@
 		const quarantine = new Quarantine(clock);
 		const crashes = new CrashDetector(this.#link, quarantine, this.#createLog('mesh'), () => undefined);
 		this.#mesh = new MeshListener({
-			link: this.#link, quarantine, crashes, protocol: upstreamProtocol, clock, log: this.#createLog('mesh'), decisions: new DecisionLog(this.#createLog('mesh'), clock),
+			link: this.#link,
+			quarantine,
+			crashes,
+			protocol: upstreamProtocol,
+			clock,
+			log: this.#createLog('mesh'),
+			decisions: new DecisionLog(this.#createLog('mesh'), clock),
+			refusals: new RefusalMetrics(registry),
 			describeState: askerVersion => this.#describeState(askerVersion),
 			getVersion: () => this.#applied.version,
 			onVersion: (version, origin) => {
--- /dev/null
+++ b/packages/upstreams/src/admission-refusals.ts
@@ -0,0 +1,30 @@
+/** Refusals of calls that got no slot. */
+import {
+	outcomes, refusalCauses, type NodeRefusal, type RefusalCause,
+} from './upstreams.js';
+
+/** Causes for which a call gets no slot. */
+export type AdmissionCause = Exclude<RefusalCause, 'other-service' | 'quarantined' | 'upstream' | 'unreachable' | 'unanswered'>;
+
+const statusUnavailable = 503;
+
+const reasons: Readonly<Record<AdmissionCause, string>> = {
+	[refusalCauses.deadline]: 'no slot comes free before the deadline',
+	[refusalCauses.deadlineNear]: 'the deadline came too close while the call waited',
+	[refusalCauses.objective]: 'no slot comes free in time for the objective',
+	[refusalCauses.queueFull]: 'the queue is full',
+	[refusalCauses.leaving]: 'the upstream is leaving',
+	[refusalCauses.cancelled]: 'the caller left or the deadline passed while the call waited',
+};
+
+/** @param retryAfter Milliseconds after which the caller may come again. */
+export function buildAdmissionRefusal(cause: AdmissionCause, retryAfter: number): NodeRefusal {
+	return {
+		status: statusUnavailable,
+		outcome: outcomes.notRun,
+		cause,
+		reason: reasons[cause],
+		retryAfter,
+		isFull: cause === refusalCauses.deadline || cause === refusalCauses.objective,
+	};
+}
--- a/packages/upstreams/src/admission.ts
+++ b/packages/upstreams/src/admission.ts
@@ -1,8 +1,9 @@
 /** Decides which calls run now, which wait, and which are refused, at the node beside an upstream. */
 import {type Clock} from '@ebonylead/base/base.js';
+import {buildAdmissionRefusal, type AdmissionCause} from './admission-refusals.js';
 import {type Cancellation} from './cancellation.js';
 import {RankUse, ServiceTimes} from './service-times.js';
-import {outcomes, type Refusal} from './upstreams.js';
+import {refusalCauses, type NodeRefusal} from './upstreams.js';
 
 /** A call that asks for a slot. */
 export type AdmissionRequest = {
@@ -34,7 +35,7 @@
 /** A slot, or why there is none. */
 export type Admission
 	= | {readonly kind: 'admitted'; readonly release: () => void}
-		| {readonly kind: 'refused'; readonly refusal: Refusal};
+		| {readonly kind: 'refused'; readonly refusal: NodeRefusal};
 
 type Waiting = {
 	readonly request: AdmissionRequest;
@@ -47,8 +48,6 @@
 	readonly resolve: (admission: Admission) => void;
 };
 
-const statusUnavailable = 503;
-
 /** Load that an upstream reports while it is leaving. */
 const closedLoad = 1000;
 
@@ -58,8 +57,8 @@
 /** Calls that may wait for each slot although an answer would come after its objective: they fill slots that would be idle. */
 const lateQueuePerSlot = 0.25;
 
-/** Longest time in milliseconds that a call may have left to count as short: calls between services have about that, callers a second or more. */
-const shortCallTime = 500;
+/** Longest time in milliseconds that a call may have left to count as short: calls between services have 400 to 650, callers 800 and more. */
+const shortCallTime = 700;
 
 /** Rank of short calls: before all others, as they hold a slot briefly and a whole call of a caller waits for each. */
 const shortCallRank = -1;
@@ -144,7 +143,7 @@
 	close(): void {
 		this.#isClosed = true;
 		for (const waiting of this.#queue) {
-			this.#refuse(waiting, 'the upstream is leaving');
+			this.#refuse(waiting, refusalCauses.leaving);
 		}
 	}
 
@@ -156,7 +155,7 @@
 	/** Asks for a slot. Resolves when the call may run, or at once where it is refused. */
 	async enter(request: AdmissionRequest): Promise<Admission> {
 		if (this.#isClosed) {
-			return this.#buildRefusal(request, 'the upstream is leaving');
+			return this.#buildRefusal(request, refusalCauses.leaving);
 		}
 
 		const isShort = this.#isShort(request);
@@ -164,7 +163,7 @@
 		const isAtOnce = this.#queue.length === 0 && this.#hasSlot(request);
 		const end = this.#clock.now() + (isAtOnce ? 0 : this.#estimateWait(request, rank)) + this.#times.estimate(request.route);
 		if (end > request.deadline) {
-			return this.#buildRefusal(request, 'no slot comes free before the deadline', true);
+			return this.#buildRefusal(request, refusalCauses.deadline);
 		}
 
 		if (isAtOnce) {
@@ -173,7 +172,7 @@
 
 		const isSpare = end > request.objective && !isShort;
 		if (isSpare && this.#countSpare() >= this.#slots * lateQueuePerSlot) {
-			return this.#buildRefusal(request, 'no slot comes free in time for the objective', true);
+			return this.#buildRefusal(request, refusalCauses.objective);
 		}
 
 		return this.#wait(request, rank, isSpare);
@@ -237,7 +236,7 @@
 
 			void this.#sweepWhileWaiting();
 			request.cancellation.addListener(() => {
-				this.#refuse(waiting, 'the caller left or the deadline passed while the call waited');
+				this.#refuse(waiting, refusalCauses.cancelled);
 			});
 		});
 	}
@@ -262,7 +261,7 @@
 		for (const waiting of this.#queue) {
 			const {deadline, route} = waiting.request;
 			if (deadline < now + Math.max(minRefusalMargin, this.#times.estimate(route))) {
-				this.#refuse(waiting, 'the deadline came too close while the call waited');
+				this.#refuse(waiting, refusalCauses.deadlineNear);
 			}
 		}
 	}
@@ -279,13 +278,13 @@
 		const longest = Math.max(...lengths.values());
 		const victim = worst.find(({request}) => lengths.get(request.caller) === longest);
 		if (victim) {
-			this.#refuse(victim, 'the queue is full');
+			this.#refuse(victim, refusalCauses.queueFull);
 		}
 	}
 
-	#refuse(waiting: Waiting, reason: string): void {
+	#refuse(waiting: Waiting, cause: AdmissionCause): void {
 		if (this.#remove(waiting)) {
-			waiting.resolve(this.#buildRefusal(waiting.request, reason));
+			waiting.resolve(this.#buildRefusal(waiting.request, cause));
 			// A call that waited to run alone may have held the others back.
 			this.#startWaiting();
 		}
@@ -313,7 +312,7 @@
 			this.#turn++;
 			this.#turns.set(request.caller, this.#turn);
 			if (this.#clock.now() + this.#times.estimate(request.route) > request.deadline) {
-				next.resolve(this.#buildRefusal(request, 'the deadline came too close while the call waited'));
+				next.resolve(this.#buildRefusal(request, refusalCauses.deadlineNear));
 			} else {
 				next.resolve(this.#admit(request, next.rank));
 			}
@@ -386,13 +385,8 @@
 		return rank < otherRank || (rank === otherRank && !isSpare && request.objective <= other.objective);
 	}
 
-	#buildRefusal(request: AdmissionRequest, reason: string, isFull = false): Admission {
-		const retryAfter = Math.max(minRetryAfter, Math.ceil(this.#estimateWait(request, this.#isShort(request) ? shortCallRank : request.rank)));
-		return {
-			kind: 'refused',
-			refusal: {
-				status: statusUnavailable, outcome: outcomes.notRun, reason, retryAfter, isFull,
-			},
-		};
+	#buildRefusal(request: AdmissionRequest, cause: AdmissionCause): Admission {
+		const wait = this.#estimateWait(request, this.#isShort(request) ? shortCallRank : request.rank);
+		return {kind: 'refused', refusal: buildAdmissionRefusal(cause, Math.max(minRetryAfter, Math.ceil(wait)))};
 	}
 }
--- a/packages/upstreams/src/mesh-call.ts
+++ b/packages/upstreams/src/mesh-call.ts
@@ -12,7 +12,7 @@
 import {readBody, type RequestBody} from './request-body.js';
 import {readCount, readHeader, readNumber} from './request-headers.js';
 import {
-	lastRank, meshHeaders, outcomes, type Refusal,
+	lastRank, meshHeaders, outcomes, refusalCauses, type NodeRefusal,
 } from './upstreams.js';
 
 /** Deadline in milliseconds of a call that carries none. */
@@ -77,7 +77,7 @@
 		const service = readHeader(this.#request, meshHeaders.service);
 		if (service !== undefined && service !== link.status.value.service) {
 			this.#refuse({
-				status: statusUnavailable, outcome: outcomes.notRun, reason: `the upstream here is of "${link.status.value.service}", not of "${service}"`,
+				status: statusUnavailable, outcome: outcomes.notRun, cause: refusalCauses.otherService, reason: `the upstream here is of "${link.status.value.service}", not of "${service}"`,
 			});
 			return;
 		}
@@ -89,7 +89,11 @@
 		if (verdict === 'quarantined') {
 			this.#crashes = this.#parts.quarantine.countCrashes(this.#computeFingerprint());
 			this.#refuse({
-				status: statusUnavailable, outcome: outcomes.notRun, reason: 'quarantined: upstreams died while this request was in flight', retryAfter: quarantineTime,
+				status: statusUnavailable,
+				outcome: outcomes.notRun,
+				cause: refusalCauses.quarantined,
+				reason: 'quarantined: upstreams died while this request was in flight',
+				retryAfter: quarantineTime,
 			});
 			return;
 		}
@@ -189,7 +193,7 @@
 				}
 
 				this.#refuse({
-					status: statusUnavailable, outcome: outcomes.notRun, reason: result.reason, retryAfter: shedRetryAfter, hasArrived: true,
+					status: statusUnavailable, outcome: outcomes.notRun, cause: refusalCauses.upstream, reason: result.reason, retryAfter: shedRetryAfter, hasArrived: true,
 				});
 				return;
 			}
@@ -200,7 +204,11 @@
 				}
 
 				this.#refuse({
-					status: statusUnavailable, outcome: outcomes.notRun, reason: `the upstream can not be reached: ${describeError(result.error)}`, retryAfter: goneRetryAfter,
+					status: statusUnavailable,
+					outcome: outcomes.notRun,
+					cause: refusalCauses.unreachable,
+					reason: `the upstream can not be reached: ${describeError(result.error)}`,
+					retryAfter: goneRetryAfter,
 				});
 				return;
 			}
@@ -219,12 +227,16 @@
 
 	async #handleNoAnswer(error: Error): Promise<void> {
 		if (this.#cancellation.isCancelled) {
-			this.#refuse({status: statusTimeout, outcome: outcomes.unknown, reason: `the upstream did not answer: ${describeError(error)}`});
+			this.#refuse({
+				status: statusTimeout, outcome: outcomes.unknown, cause: refusalCauses.cancelled, reason: `the upstream did not answer: ${describeError(error)}`,
+			});
 			return;
 		}
 
 		await this.#countCrash();
-		this.#refuse({status: statusBadGateway, outcome: outcomes.unknown, reason: `the upstream did not answer: ${describeError(error)}`});
+		this.#refuse({
+			status: statusBadGateway, outcome: outcomes.unknown, cause: refusalCauses.unanswered, reason: `the upstream did not answer: ${describeError(error)}`,
+		});
 	}
 
 	async #countCrash(): Promise<void> {
@@ -248,7 +260,7 @@
 		return computeFingerprint(this.#request.method ?? 'GET', this.#request.url ?? '/', body);
 	}
 
-	#refuse(refusal: Refusal): void {
+	#refuse(refusal: NodeRefusal): void {
 		if (!this.#response.headersSent && !this.#response.destroyed) {
 			this.#response.setHeader(meshHeaders.load, this.#parts.link.admission.load.toFixed(2));
 			if (this.#crashes > 0) {
@@ -256,7 +268,8 @@
 			}
 		}
 
-		const {decisions, link, protocol, clock} = this.#parts;
+		const {decisions, link, protocol, clock, refusals} = this.#parts;
+		refusals?.recordRefusal(refusal.cause, refusal.outcome);
 		decisions.record({
 			id: protocol.readRequestId(this.#request.headers),
 			service: link.status.value.service,
--- a/packages/upstreams/src/mesh-listener.ts
+++ b/packages/upstreams/src/mesh-listener.ts
@@ -11,6 +11,7 @@
 import {type CrashDetector} from './crash-detector.js';
 import {MeshCall} from './mesh-call.js';
 import {type Quarantine} from './quarantine.js';
+import {type RefusalMetrics} from './refusal-metrics.js';
 import {readHeader, readNumber} from './request-headers.js';
 import {type UpstreamLink} from './upstream-link.js';
 import {type UpstreamProtocol} from './upstream-protocol.js';
@@ -26,6 +27,9 @@
 	readonly log: Logger;
 	readonly decisions: DecisionLog;
 
+	/** Counts refusals; undefined where nobody reads them. */
+	readonly refusals?: RefusalMetrics;
+
 	/** Answers a node that asks for the state of this one, given the version in force there. */
 	readonly describeState?: (askerVersion: number) => unknown;
 
--- /dev/null
+++ b/packages/upstreams/src/refusal-metrics.ts
@@ -0,0 +1,19 @@
+/** Counts of refusals at the second hop, for Prometheus. */
+import {Counter, type Registry} from 'prom-client';
+import {type Outcome, type RefusalCause} from './upstreams.js';
+
+/** Counts what a node refused in place of its upstream, by cause. */
+export class RefusalMetrics {
+	readonly #refusals: Counter;
+
+	constructor(registry: Registry) {
+		this.#refusals = new Counter({
+			name: 'ebonylead_refusals_total', help: 'Calls of other nodes that were refused, by cause and by what is known of their run.', labelNames: ['cause', 'outcome'], registers: [registry],
+		});
+	}
+
+	/** Notes a refusal. */
+	recordRefusal(cause: RefusalCause, outcome: Outcome): void {
+		this.#refusals.inc({cause, outcome});
+	}
+}
--- /dev/null
+++ b/packages/upstreams/src/test/refusal-metrics_test.ts
@@ -0,0 +1,17 @@
+import {describe, it} from '@ebonylead/stand-ins/describe.js';
+import {Registry} from 'prom-client';
+import {RefusalMetrics} from '../refusal-metrics.js';
+import {outcomes, refusalCauses} from '../upstreams.js';
+
+describe('refusal metrics', () => {
+	it('count by cause and by what is known of the run', async t => {
+		const registry = new Registry();
+		const metrics = new RefusalMetrics(registry);
+		metrics.recordRefusal(refusalCauses.objective, outcomes.notRun);
+		metrics.recordRefusal(refusalCauses.objective, outcomes.notRun);
+		metrics.recordRefusal(refusalCauses.unanswered, outcomes.unknown);
+		const text = await registry.metrics();
+		t.regex(text, /ebonylead_refusals_total\{cause="objective",outcome="not-run"\} 2/v);
+		t.regex(text, /ebonylead_refusals_total\{cause="unanswered",outcome="unknown"\} 1/v);
+	});
+});
--- a/packages/upstreams/src/upstreams.ts
+++ b/packages/upstreams/src/upstreams.ts
@@ -78,6 +78,48 @@
 /** One of the outcomes. */
 export type Outcome = typeof outcomes[keyof typeof outcomes];
 
+/** Why a node refuses a call, for the metrics; the reason says it in words. */
+export const refusalCauses = {
+	/** No slot comes free before the deadline. */
+	deadline: 'deadline',
+
+	/** The deadline came too close while the call waited. */
+	deadlineNear: 'deadline-near',
+
+	/** No slot comes free in time for the objective. */
+	objective: 'objective',
+
+	/** More urgent calls fill the queue. */
+	queueFull: 'queue-full',
+
+	/** The upstream is leaving. */
+	leaving: 'leaving',
+
+	/** The upstream beside the node is of another service. */
+	otherService: 'other-service',
+
+	/** Upstreams died while such a call was in flight. */
+	quarantined: 'quarantined',
+
+	/** The upstream did not run the call. */
+	upstream: 'upstream',
+
+	/** The upstream takes no connection. */
+	unreachable: 'unreachable',
+
+	/** The upstream gave no whole answer. */
+	unanswered: 'unanswered',
+
+	/** The caller left, or its deadline passed. */
+	cancelled: 'cancelled',
+} as const;
+
+/** One of the causes. */
+export type RefusalCause = typeof refusalCauses[keyof typeof refusalCauses];
+
+/** A refusal of the node beside an upstream. */
+export type NodeRefusal = Refusal & {readonly cause: RefusalCause};
+
 /** An answer that ebonylead makes itself. */
 export type Refusal = {
 	readonly status: number;
