Leave a full data centre only for a much shorter queue

Where all upstreams of a service had a queue, noise in the loads that they report sent most calls to another data centre.

Change: where the far upstream has no free slot either, it must be less loaded by 0.5 calls for each slot in place of 0.15.

Ruled out: refusals that are asked far away; they are a fifth of the bytes.

The test of a near and a far queue of about the same length fails without the change.

--- a/packages/callers/src/target-chooser.ts
+++ b/packages/callers/src/target-chooser.ts
@@ -47,6 +47,10 @@
 
 /** How much less loaded, in calls for each slot, an upstream of another data centre must be: bytes between them cost. */
 const spillMargin = 0.15;
+
+/** As `spillMargin`, where the other one has no free slot either: a call would wait at both, so that little is won. */
+const fullSpillMargin = 0.5;
+
 /** Part of the wait that an upstream tells for which it counts as full, and its bounds in milliseconds: a slot comes free every few milliseconds. */
 const fullShare = 0.25;
 const minFullTime = 10;
@@ -87,7 +91,9 @@
 			return far ?? near;
 		}
 
-		return this.#estimateLoad(far) + spillMargin < this.#estimateLoad(near) ? far : near;
+		const farLoad = this.#estimateLoad(far);
+		const margin = farLoad < spillLoad ? spillMargin : fullSpillMargin;
+		return farLoad + margin < this.#estimateLoad(near) ? far : near;
 	}
 
 	/**
--- /dev/null
+++ b/packages/callers/src/test/target-chooser_test.ts
@@ -0,0 +1,51 @@
+import {SeededRandom} from '@ebonylead/base/random.js';
+import {MemberState, UpstreamState, type Member} from '@ebonylead/peers/generated/peers.js';
+import {Membership} from '@ebonylead/peers/membership.js';
+import {RouteTable} from '@ebonylead/rules/route-table.js';
+import {parseRuleFile} from '@ebonylead/rules/rule-file.js';
+import {describe, it} from '@ebonylead/stand-ins/describe.js';
+import {FakeClock} from '@ebonylead/stand-ins/fake-clock.js';
+import {TargetChooser} from '../target-chooser.js';
+
+const {rules} = parseRuleFile('f', 'GET a.example/** -> s # A').unsafeCoerce();
+const route = new RouteTable({version: 1, rules}).routes[0]!;
+
+function createMember(id: string, dataCentre: string): Member {
+	return {
+		id, dataCentre, incarnation: 1, region: 'r', host: id, peerPort: 1, meshPort: 1, state: MemberState.ALIVE, service: 's', upstreamState: UpstreamState.READY, slots: 6, instance: 1,
+	};
+}
+
+/** Makes a chooser that heard the given loads of a near and a far upstream. */
+async function createChooser(nearLoad: number, farLoad: number): Promise<TargetChooser> {
+	const clock = new FakeClock();
+	const membership = new Membership();
+	const [near, far] = [createMember('near', 'a'), createMember('far', 'b')];
+	membership.merge([near, far], clock.now());
+	const chooser = new TargetChooser(membership, 'a', clock, new SeededRandom(1));
+	chooser.choose('s', route, new Set());
+	await clock.advance(10_000);
+	for (const [member, load] of [[near, nearLoad], [far, farLoad]] as const) {
+		chooser.recordStart(member);
+		chooser.recordEnd(member, false, load);
+	}
+
+	return chooser;
+}
+
+describe('target chooser', () => {
+	describe('between data centres', () => {
+		const cases: ReadonlyArray<readonly [string, number, number, string]> = [
+			['stays near while there is room', 0.5, 0, 'near'],
+			['goes where there is room', 1.2, 0.5, 'far'],
+			['stays near where both are full and the far one hardly less', 1.3, 1, 'near'],
+			['leaves a long queue for a much shorter one', 1.8, 1, 'far'],
+		];
+		for (const [title, near, far, expected] of cases) {
+			it(title, async t => {
+				const chooser = await createChooser(near, far);
+				t.is(chooser.choose('s', route, new Set())?.id, expected);
+			});
+		}
+	});
+});
