--- a/packages/callers/src/test/call-helpers.ts
+++ b/packages/callers/src/test/call-helpers.ts
@@ -11,6 +11,7 @@
 	'GET a.example/quick/** -> s deadline 1s # A',
 	'POST a.example/** -> s once deadline 2s # A',
 	'POST a.example/quick -> s once deadline 1s # A',
+	'POST a.example/large -> s once deadline 30s # A',
 	'GET a.example/narrow -> s slots 1 deadline 300ms # A',
 ];
 
