Drain the rest of a body whose answer came early

Where an upstream answers before it has read a body of more than 256 KiB, undici destroys the stream that it was given. That was the request of the node's own server, with its socket taken off first, so that Node stopped reading the connection and never closed it.

Ruled out, by a trace of the connection: the next call never reached the other node's server; the connection was open, its last request destroyed but not complete.

Change: undici gets a copy of the stream; when the exchange ends, the request is taken off the copy and drained.

--- a/packages/upstreams/src/forward.ts
+++ b/packages/upstreams/src/forward.ts
@@ -1,6 +1,7 @@
 /** Forwards one request to one server, and its answer back, for both hops of a call. */
 import {Buffer} from 'node:buffer';
 import {type IncomingHttpHeaders, type IncomingMessage, type ServerResponse} from 'node:http';
+import {PassThrough} from 'node:stream';
 import {type Dispatcher} from 'undici';
 import {type Cancellation} from './cancellation.js';
 import {type AnswerVerdict} from './upstream-protocol.js';
@@ -98,6 +99,7 @@
 	readonly #finish: (result: ForwardResult) => void;
 	#controller: Dispatcher.DispatchController | undefined;
 	#abortReason: Error | undefined;
+	#copy: PassThrough | undefined;
 	#isSent = false;
 	#isPassedOn = false;
 	#isFinished = false;
@@ -123,7 +125,7 @@
 		cancellation.addListener(this.#handleCancel);
 		try {
 			dispatcher.dispatch({
-				origin, method, path, headers, body: body ?? null, headersTimeout: 0, bodyTimeout: 0,
+				origin, method, path, headers, body: this.#openBody(body), headersTimeout: 0, bodyTimeout: 0,
 			}, this);
 		} catch (error) {
 			this.#end({kind: 'unsent', error: error as Error});
@@ -226,6 +228,28 @@
 		}
 	}
 
+	/**
+	 * The client destroys the stream that it is given when an answer comes before
+	 * the end of the body. A destroyed request stops the reading of its
+	 * connection for good, so the client gets a copy, and what is left is drained.
+	 */
+	#openBody(body: Buffer | IncomingMessage | undefined): Buffer | PassThrough | null {
+		if (body === undefined || Buffer.isBuffer(body)) {
+			return body ?? null;
+		}
+
+		this.#copy = body.pipe(new PassThrough());
+		return this.#copy;
+	}
+
+	#closeBody(): void {
+		const {body} = this.#options;
+		if (this.#copy && body !== undefined && !Buffer.isBuffer(body)) {
+			body.unpipe(this.#copy);
+			body.resume();
+		}
+	}
+
 	readonly #handleCancel = (reason: Error) => {
 		this.#abort(reason);
 	};
@@ -327,6 +351,7 @@
 		this.#isFinished = true;
 		clearTimeout(this.#timer);
 		this.#options.cancellation.removeListener(this.#handleCancel);
+		this.#closeBody();
 		this.#finish(result);
 	}
 }
