Play loads in virtual time against the real decisions, without a network

An emulator of callers, nodes and upstreams that call each other. It drives the classes that run in the product: admission, service times, the choice of upstreams.

It has no cold starts, no upstreams that fail, and no data centres yet.

--- /dev/null
+++ b/packages/stand-ins/src/event-clock.ts
@@ -0,0 +1,97 @@
+/** Virtual time for played loads: jumps from one event to the next. */
+import {type Clock} from '@ebonylead/base/base.js';
+
+type Sleeper = {
+	readonly wakeAt: number;
+	readonly order: number;
+	readonly wake: () => void;
+};
+
+/** A clock whose time passes only while `run` plays its events, in their order. */
+export class EventClock implements Clock {
+	#now = 0;
+	#order = 0;
+
+	/** A binary heap; the first one wakes next. */
+	readonly #heap: Sleeper[] = [];
+
+	now(): number {
+		return this.#now;
+	}
+
+	wallTime(): number {
+		return Math.floor(this.#now);
+	}
+
+	async sleep(duration: number): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#order++;
+			this.#push({wakeAt: this.#now + Math.max(0, duration), order: this.#order, wake: resolve});
+		});
+	}
+
+	/** Plays all events up to a time in milliseconds. */
+	async run(end: number): Promise<void> {
+		await settle();
+		while (this.#heap.length > 0 && this.#heap[0]!.wakeAt <= end) {
+			const next = this.#pop();
+			this.#now = next.wakeAt;
+			next.wake();
+			await settle();
+		}
+
+		this.#now = end;
+	}
+
+	#push(sleeper: Sleeper): void {
+		const heap = this.#heap;
+		let index = heap.push(sleeper) - 1;
+		while (index > 0) {
+			const parent = (index - 1) >> 1;
+			if (!isBefore(heap[index]!, heap[parent]!)) {
+				return;
+			}
+
+			[heap[index], heap[parent]] = [heap[parent]!, heap[index]!];
+			index = parent;
+		}
+	}
+
+	#pop(): Sleeper {
+		const heap = this.#heap;
+		const first = heap[0]!;
+		const last = heap.pop()!;
+		if (heap.length > 0) {
+			heap[0] = last;
+			this.#sink();
+		}
+
+		return first;
+	}
+
+	#sink(): void {
+		const heap = this.#heap;
+		let index = 0;
+		for (;;) {
+			const children = [(2 * index) + 1, (2 * index) + 2].filter(child => child < heap.length);
+			const least = children.toSorted((left, right) => isBefore(heap[left]!, heap[right]!) ? -1 : 1)[0];
+			if (least === undefined || !isBefore(heap[least]!, heap[index]!)) {
+				return;
+			}
+
+			[heap[index], heap[least]] = [heap[least]!, heap[index]!];
+			index = least;
+		}
+	}
+}
+
+function isBefore(left: Sleeper, right: Sleeper): boolean {
+	return left.wakeAt < right.wakeAt || (left.wakeAt === right.wakeAt && left.order < right.order);
+}
+
+/** Lets all tasks go on that an event woke. */
+async function settle(): Promise<void> {
+	await new Promise<void>(resolve => {
+		setImmediate(resolve);
+	});
+}
--- /dev/null
+++ b/packages/stand-ins/src/test/load-emulator_test.ts
@@ -0,0 +1,60 @@
+import {describe, it} from '../describe.js';
+import {LoadEmulator, type PlayedLoad} from '../load-emulator.js';
+
+/** A heavy day: stock checks call the service of restocks, which has callers of its own of the same rank. */
+function createLoad(scale: number): PlayedLoad {
+	return {
+		services: [
+			{name: 'stock', slots: 6, speeds: [0.6, 1, 1.4, 1]},
+			{name: 'restock', slots: 6, speeds: [0.5, 1, 1.5]},
+		],
+		classes: [
+			{
+				name: 'check', service: 'stock', rank: 2, rate: 120 * scale, work: 120, objective: 400, deadline: 1200, returns: 2, calls: ['lookup', 'lookup'],
+			},
+			{
+				name: 'confirm', service: 'restock', rank: 1, rate: 60 * scale, work: 160, objective: 500, deadline: 1500, returns: 2, calls: [],
+			},
+			{
+				name: 'lookup', service: 'restock', rank: 1, rate: 0, work: 30, objective: 120, deadline: 400, returns: 0, calls: [],
+			},
+		],
+		duration: 12_000,
+	};
+}
+
+const seeds = [1, 2, 3];
+
+describe('a played load', () => {
+	for (const seed of seeds) {
+		it(`of half the room is served in time (seed ${seed})`, async t => {
+			const results = await new LoadEmulator(createLoad(0.5), seed).run();
+			for (const name of ['check', 'confirm']) {
+				const {asked, inTime} = results.get(name)!;
+				t.true(inTime / asked > 0.95, `${name}: ${inTime} of ${asked}`);
+			}
+		});
+
+		it(`beyond the room wastes few runs of upstreams that call others (seed ${seed})`, async t => {
+			const results = await new LoadEmulator(createLoad(1.5), seed).run();
+			const {runs, wastedRuns, inTime, asked} = results.get('check')!;
+			t.true(asked > 1000);
+			t.true(wastedRuns / runs < 0.05, `${wastedRuns} of ${runs}`);
+			t.true(inTime > 0);
+		});
+
+		it(`beyond the room serves the more urgent class no less often (seed ${seed})`, async t => {
+			const load = createLoad(1.5);
+			const urgent = {
+				...load.classes[1]!, name: 'urgent', rank: 0, rate: 30,
+			};
+			const results = await new LoadEmulator({...load, classes: [...load.classes, urgent]}, seed).run();
+			const share = (name: string) => {
+				const {inTime, late, asked} = results.get(name)!;
+				return (inTime + late) / asked;
+			};
+
+			t.true(share('urgent') > share('confirm') - 0.05, `${share('urgent')} against ${share('confirm')}`);
+		});
+	}
+});
