--- /dev/null
+++ b/packages/bench/src/play.ts
@@ -0,0 +1,77 @@
+/**
+ * `npm run play -- LOAD.json [--seed N] [--svg FILE]`: plays a load against the
+ * decisions of nodes in virtual time, and shows what callers get by class.
+ */
+import {readFileSync, writeFileSync} from 'node:fs';
+import process from 'node:process';
+import {LoadEmulator, type PlayedResult} from '@ebonylead/stand-ins/load-emulator.js';
+import {defineCommand, runMain} from 'citty';
+import {decodeLoad} from './load-file.js';
+import {formatTable} from './table.js';
+
+type Results = ReadonlyMap<string, Readonly<PlayedResult>>;
+
+const exitBadLoad = 2;
+const barHeight = 22;
+const barGap = 10;
+const barLeft = 140;
+const barWidth = 560;
+const margin = 40;
+const colours = {
+	inTime: '#27ae60', late: '#f39c12', refused: '#95a5a6', failed: '#c0392b',
+} as const;
+
+function renderTable(results: Results): string {
+	const rows = [...results].map(([name, {asked, inTime, late, refused, failed, runs, wastedRuns}]) => [name, ...[asked, inTime, late, refused, failed, runs, wastedRuns].map(String)]);
+	return formatTable([['class', 'asked', 'in time', 'late', 'refused', 'failed', 'runs', 'wasted'], ...rows]);
+}
+
+function renderBar(result: Readonly<PlayedResult>, top: number): string {
+	let x = barLeft;
+	return Object.entries(colours).map(([part, colour]) => {
+		const width = result[part as keyof typeof colours] / Math.max(1, result.asked) * barWidth;
+		const bar = `<rect x="${x.toFixed(1)}" y="${top}" width="${width.toFixed(1)}" height="${barHeight}" fill="${colour}"/>`;
+		x += width;
+		return bar;
+	}).join('');
+}
+
+function renderPlot(results: Results): string {
+	const asked = [...results].filter(([, result]) => result.asked > 0);
+	const height = (2 * margin) + (asked.length * (barHeight + barGap));
+	const bars = asked.map(([name, result], index) => {
+		const top = margin + (index * (barHeight + barGap));
+		return `<text x="${barLeft - 8}" y="${top + 15}" text-anchor="end">${name}</text>${renderBar(result, top)}`;
+	});
+	return `<svg xmlns="http://www.w3.org/2000/svg" width="${barLeft + barWidth + margin}" height="${height}" font-family="sans-serif" font-size="12">
+<rect width="100%" height="100%" fill="#fff"/>
+<text x="${barLeft}" y="20">What callers got: in time (green), late (orange), refused (grey), failed (red)</text>
+${bars.join('\n')}
+</svg>
+`;
+}
+
+const command = defineCommand({
+	meta: {name: 'play', description: 'Plays a load against the decisions of nodes in virtual time.'},
+	args: {
+		load: {type: 'positional', description: 'File with the load in JSON', required: true},
+		seed: {type: 'string', description: 'Seed of arrivals and work', default: '1'},
+		svg: {type: 'string', description: 'File for a plot'},
+	},
+	async run({args}) {
+		const load = decodeLoad(readFileSync(args.load, 'utf8'));
+		if (load.isLeft()) {
+			process.stderr.write(`${args.load}: ${String(load.extract())}\n`);
+			process.exitCode = exitBadLoad;
+			return;
+		}
+
+		const results = await new LoadEmulator(load.unsafeCoerce(), Number(args.seed)).run();
+		process.stdout.write(`${renderTable(results)}\n`);
+		if (args.svg !== undefined) {
+			writeFileSync(args.svg, renderPlot(results));
+		}
+	},
+});
+
+void runMain(command);
--- /dev/null
+++ b/packages/bench/src/test/load-file_test.ts
@@ -0,0 +1,24 @@
+import {readFileSync} from 'node:fs';
+import {describe, it} from '@ebonylead/stand-ins/describe.js';
+import {decodeLoad} from '../load-file.js';
+
+const text = readFileSync(new URL('../../../../examples/loads/crown-stock-heavy.json', import.meta.url), 'utf8');
+
+describe('load file', () => {
+	it('of the examples can be played', t => {
+		t.is(decodeLoad(text).unsafeCoerce().classes.length, 6);
+	});
+
+	const faults: Record<string, [string, string, RegExp]> = {
+		'names an unknown service': ['"service": "pantry-view"', '"service": "pantry"', /class "stock-check" names service "pantry"/v],
+		'calls an unknown class': ['"calls": ["recipe-yield"]', '"calls": ["yield"]', /calls class "yield"/v],
+		'has a text for a number': ['"rate": 180', '"rate": "180"', /class "stock-check" needs a number "rate"/v],
+		'has no speed': ['[0.5, 1, 1.5]', '[]', /service "restock-desk" needs/v],
+		'is cut': ['"duration": 12000,', '"duration": ', /not JSON/v],
+	};
+	for (const [fault, [from, to, expected]] of Object.entries(faults)) {
+		it(`says so where it ${fault}`, t => {
+			t.regex(decodeLoad(text.replace(from, to)).swap().unsafeCoerce(), expected);
+		});
+	}
+});
