Take changes at a pace that large fleets and slow links bear

A configuration has 1,600 routes there; each node that heard of a version asked a peer for all of it, 420 kB of JSON over links of 3.5 Mbit/s, and encoded it for others, which nobody asks for.

The first change after a pause is taken at once. A version that is heard of on a call is left to the store for 500 ms before a peer is asked, and peers send members only to those whose store is lost.

--- a/packages/node/src/member-directory.ts
+++ b/packages/node/src/member-directory.ts
@@ -35,6 +35,12 @@
 /** The table of members. */
 export const memberTable = 'members';
 
+/** Time in milliseconds for each member between two changes that a node takes, so that all nodes together make at most 100 such reads a second. */
+const pausePerMember = 10;
+
+/** Longest such time in milliseconds; until then a call may be sent to a node that refuses it, which costs a detour. */
+const maxReadPause = 800;
+
 /** First and longest pause after a failed write in milliseconds. */
 const minPause = 50;
 const maxPause = 800;
@@ -65,6 +71,7 @@
 			table: memberTable,
 			clock: parts.clock,
 			log: parts.log,
+			getPause: () => Math.min(maxReadPause, parts.membership.activeCount * pausePerMember),
 			onRows: (rows, isComplete) => {
 				this.#mergeRows(rows, isComplete);
 			},
--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -17,10 +17,9 @@
 import {Membership} from '@ebonylead/peers/membership.js';
 import {AppliedVersion} from '@ebonylead/rules/applied-version.js';
 import {type AcceptedRules, type RuleSource} from '@ebonylead/rules/rule-source.js';
-import {encodeSnapshot} from '@ebonylead/rules/snapshot-codec.js';
 import {type RowStore} from '@ebonylead/store/row-store.js';
 import {CrashDetector} from '@ebonylead/upstreams/crash-detector.js';
-import {MeshListener} from '@ebonylead/upstreams/mesh-listener.js';
+import {MeshListener, type StateQuestion} from '@ebonylead/upstreams/mesh-listener.js';
 import {Quarantine} from '@ebonylead/upstreams/quarantine.js';
 import {RefusalMetrics} from '@ebonylead/upstreams/refusal-metrics.js';
 import {UpstreamLink} from '@ebonylead/upstreams/upstream-link.js';
@@ -128,7 +127,7 @@
 			log: this.#createLog('mesh'),
 			decisions: new DecisionLog(this.#createLog('mesh'), clock),
 			refusals: new RefusalMetrics(registry),
-			describeState: askerVersion => this.#describeState(askerVersion),
+			describeState: question => this.#describeState(question),
 			getVersion: () => this.#applied.version,
 			onVersion: (version, origin) => {
 				this.#peers.recordVersion(version, origin);
@@ -235,10 +234,10 @@
 		return this.#callers.openCount + this.#mesh.openCount;
 	}
 
-	#describeState(askerVersion: number): PeerState {
+	#describeState({version, wantsMembers}: StateQuestion): PeerState {
 		return {
-			rules: askerVersion < this.#applied.version ? this.#rules : undefined,
-			members: this.#membership.listAll().filter(member => member.state === MemberState.ALIVE),
+			rules: version < this.#applied.version ? this.#rules : undefined,
+			members: wantsMembers ? this.#membership.listAll().filter(member => member.state === MemberState.ALIVE) : [],
 		};
 	}
 
@@ -253,7 +252,7 @@
 	#applyRules(rules: AcceptedRules): void {
 		const {snapshot, limits} = rules;
 		const before = this.#applied.version;
-		if (!this.#applied.apply(encodeSnapshot(snapshot))) {
+		if (!this.#applied.applySnapshot(snapshot)) {
 			return;
 		}
 
--- a/packages/node/src/peer-state.ts
+++ b/packages/node/src/peer-state.ts
@@ -42,6 +42,9 @@
 /** Pause after a question about a version that was heard of, in milliseconds; the peer may have died meanwhile. */
 const retryPeriod = 50;
 const answerTimeout = 600;
+
+/** Time in milliseconds for the store to bring a version that was heard of: a quarter of the time in which it must be in force. Peers' answers hold all rules. */
+const storeLead = 500;
 const maxConnections = 2;
 const statusOk = 200;
 
@@ -69,27 +72,36 @@
 	/** Asks peers where needed until the signal is aborted. */
 	async run(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
-			const isBehind = this.#heardVersion > this.#parts.getVersion();
-			if (isBehind || this.#parts.isStoreLost()) {
-				await this.#ask(isBehind ? this.#heardFrom : this.#pickPeer(), signal);
+			if (this.#isBehind && !this.#parts.isStoreLost()) {
+				await this.#parts.clock.sleep(storeLead, signal);
+			}
+
+			if (this.#isBehind || this.#parts.isStoreLost()) {
+				await this.#ask(this.#isBehind ? this.#heardFrom : this.#pickPeer(), signal);
 			}
 
-			await this.#sleep(this.#heardVersion > this.#parts.getVersion() ? retryPeriod : askPeriod, signal);
+			await this.#sleep(this.#isBehind ? retryPeriod : askPeriod, signal);
 		}
 
 		await this.#agent.destroy();
 	}
 
+	get #isBehind(): boolean {
+		return this.#heardVersion > this.#parts.getVersion();
+	}
+
 	async #ask(origin: string | undefined, signal: AbortSignal): Promise<void> {
 		if (!origin) {
 			return;
 		}
 
-		const {log, getVersion, onState} = this.#parts;
+		const {log, getVersion, onState, isStoreLost} = this.#parts;
+		// The store brings members by itself where it answers.
+		const query = `version=${getVersion()}${isStoreLost() ? '&members' : ''}`;
 		const before = getVersion();
 		try {
 			const response = await this.#agent.request({
-				origin, method: 'GET', path: `${statePath}?version=${before}`, signal: AbortSignal.any([signal, AbortSignal.timeout(answerTimeout)]),
+				origin, method: 'GET', path: `${statePath}?${query}`, signal: AbortSignal.any([signal, AbortSignal.timeout(answerTimeout)]),
 			});
 			if (response.statusCode !== statusOk) {
 				throw new StepError('ask for state', origin, `status ${response.statusCode}`);
--- a/packages/node/src/test/peer-state_test.ts
+++ b/packages/node/src/test/peer-state_test.ts
@@ -81,6 +81,21 @@
 }
 
 describe('peer follower', () => {
+	it('leaves a version that it hears of to the store for a moment', async t => {
+		let version = 1;
+		await withFollower({getVersion: () => version}, async ({follower, origin, getAsked}) => {
+			follower.recordVersion(peerVersion, origin);
+			await new Promise(resolve => {
+				setTimeout(resolve, 50);
+			});
+			version = peerVersion;
+			await new Promise(resolve => {
+				setTimeout(resolve, 500);
+			});
+			t.is(getAsked(), 0);
+		});
+	});
+
 	it('asks a peer while the store does not answer', async t => {
 		await withFollower({isStoreLost: () => true}, async ({getVersion}) => {
 			await waitFor(() => getVersion() === peerVersion);
--- a/packages/rules/src/applied-version.ts
+++ b/packages/rules/src/applied-version.ts
@@ -2,8 +2,8 @@
 import {type Stream} from 'most';
 import {StateCell} from '@ebonylead/base/state-cell.js';
 import {RouteTable} from './route-table.js';
-import {type EncodedSnapshot} from './rules.js';
-import {emptySnapshot} from './snapshot-codec.js';
+import {type EncodedSnapshot, type Snapshot} from './rules.js';
+import {DeferredSnapshot, emptySnapshot} from './snapshot-codec.js';
 import {applyDelta, computeDelta, type SnapshotDelta} from './snapshot-delta.js';
 
 /** A snapshot in force with its routes made ready. */
@@ -63,6 +63,20 @@
 		return true;
 	}
 
+	/**
+	 * As `apply`, at a node that takes versions from a shared store: it sends no
+	 * bytes and no deltas to others, so that neither is made.
+	 */
+	applySnapshot(snapshot: Snapshot): boolean {
+		if (snapshot.version <= this.version) {
+			return false;
+		}
+
+		this.#deltas = [];
+		this.#cell.set({encoded: new DeferredSnapshot(snapshot), routes: new RouteTable(snapshot), appliedAt: Date.now()});
+		return true;
+	}
+
 	/**
 	 * Applies a delta if it starts from the version in force.
 	 *
--- a/packages/rules/src/snapshot-codec.ts
+++ b/packages/rules/src/snapshot-codec.ts
@@ -16,6 +16,29 @@
 	return {snapshot: ordered, bytes, digest: computeDigest(bytes)};
 }
 
+/** A snapshot that is encoded only when somebody asks for its bytes: with thousands of rules that takes longer than all else. */
+export class DeferredSnapshot implements EncodedSnapshot {
+	readonly snapshot: Snapshot;
+	#encoded: EncodedSnapshot | undefined;
+
+	constructor(snapshot: Snapshot) {
+		this.snapshot = snapshot;
+	}
+
+	get bytes(): Uint8Array {
+		return this.#encode().bytes;
+	}
+
+	get digest(): string {
+		return this.#encode().digest;
+	}
+
+	#encode(): EncodedSnapshot {
+		this.#encoded ??= encodeSnapshot(this.snapshot);
+		return this.#encoded;
+	}
+}
+
 /** The snapshot that every node starts from: version 0, no rules. */
 export const emptySnapshot: EncodedSnapshot = encodeSnapshot({version: 0, rules: []});
 
--- a/packages/rules/src/test/applied-version_test.ts
+++ b/packages/rules/src/test/applied-version_test.ts
@@ -27,6 +27,17 @@
 );
 
 describe('applied version', () => {
+	it('of a shared store only grows too, and is encoded alike when it is asked for', t => {
+		const {rules} = parseRuleFile('f', 'GET a.example/** -> s # A\nGET a.example/x -> t # B').unsafeCoerce();
+		const applied = new AppliedVersion();
+		t.true(applied.applySnapshot({version: 2, rules}));
+		t.false(applied.applySnapshot({version: 2, rules: []}));
+		t.false(applied.applySnapshot({version: 1, rules: []}));
+		t.is(applied.current.routes.routes.length, 2);
+		t.is(applied.current.encoded.digest, encodeSnapshot({version: 2, rules}).digest);
+		t.is(applied.findDeltas(0), undefined);
+	});
+
 	it('never goes back and is never partial, in any order of crossed, doubled and damaged updates', t => {
 		t.notThrows(() => {
 			fc.assert(fc.property(fc.array(update, {maxLength: 40}), updates => {
--- a/packages/store/src/table-follower.ts
+++ b/packages/store/src/table-follower.ts
@@ -13,6 +13,9 @@
 	readonly clock: Clock;
 	readonly log: Logger;
 
+	/** Returns the least time in milliseconds between two changes that are taken; none where it is left out. */
+	readonly getPause?: () => number;
+
 	/** Called with changed rows, or with all rows of the table where `isComplete` is true. */
 	readonly onRows: (rows: readonly SharedRow[], isComplete: boolean) => void;
 };
@@ -56,7 +59,9 @@
 	}
 
 	async #step(signal: AbortSignal): Promise<void> {
-		const {store, table, onRows} = this.#parts;
+		const {
+			store, table, onRows, getPause, clock,
+		} = this.#parts;
 		if (this.#cursor === undefined) {
 			const page = await store.readTable(table);
 			this.#noteAnswer(page);
@@ -68,6 +73,8 @@
 		this.#noteAnswer(page);
 		if (page.rows.length > 0) {
 			onRows(page.rows, false);
+			// Each change wakes the feeds of all nodes; what changes meanwhile comes with the next answer.
+			await clock.sleep(getPause?.() ?? 0, signal);
 		}
 	}
 
--- /dev/null
+++ b/packages/store/src/test/table-follower_test.ts
@@ -0,0 +1,42 @@
+import {createLogger} from '@ebonylead/base/logs.js';
+import {describe, it} from '@ebonylead/stand-ins/describe.js';
+import {FakeClock} from '@ebonylead/stand-ins/fake-clock.js';
+import {FakeRowStore} from '@ebonylead/stand-ins/fake-row-store.js';
+import {TableFollower} from '../table-follower.js';
+
+describe('table follower', () => {
+	it('takes changes that come in a row at most once a pause, and loses none', async t => {
+		const clock = new FakeClock();
+		const store = new FakeRowStore();
+		const taken: string[][] = [];
+		const controller = new AbortController();
+		const follower = new TableFollower({
+			store,
+			table: 't',
+			clock,
+			log: createLogger('silent'),
+			getPause: () => 500,
+			onRows(rows) {
+				taken.push(rows.map(row => row.key));
+			},
+		});
+		const running = follower.run(controller.signal);
+		await clock.advance(1);
+		for (const key of ['a', 'b', 'c']) {
+			store.put('t', key, '1');
+			await clock.advance(10);
+		}
+
+		t.deepEqual(taken, [[], ['a']]);
+		await clock.advance(500);
+		t.deepEqual(taken, [[], ['a'], ['b', 'c']]);
+		await clock.advance(1000);
+		store.put('t', 'd', '1');
+		await clock.advance(1);
+		t.deepEqual(taken.at(-1), ['d']);
+		controller.abort();
+		store.put('t', 'e', '1');
+		await clock.advance(1000);
+		await running;
+	});
+});
--- a/packages/upstreams/src/mesh-listener.ts
+++ b/packages/upstreams/src/mesh-listener.ts
@@ -30,8 +30,8 @@
 	/** Counts refusals; undefined where nobody reads them. */
 	readonly refusals?: RefusalMetrics;
 
-	/** Answers a node that asks for the state of this one, given the version in force there. */
-	readonly describeState?: (askerVersion: number) => unknown;
+	/** Answers a node that asks for the state of this one. */
+	readonly describeState?: (question: StateQuestion) => unknown;
 
 	/** The version in force here. */
 	readonly getVersion?: () => number;
@@ -40,6 +40,13 @@
 	readonly onVersion?: (version: number, origin: string) => void;
 };
 
+/** What a node asks another for. */
+export type StateQuestion = {
+	/** Version in force at the asker; only later rules are of use. */
+	readonly version: number;
+	readonly wantsMembers: boolean;
+};
+
 /** Path of questions about the state of a node. */
 export const statePath = '/x-ebonylead/state';
 
@@ -92,8 +99,8 @@
 
 	async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		if (request.url?.startsWith(statePath) && this.#parts.describeState) {
-			const asked = new URL(request.url, 'http://node').searchParams.get('version');
-			const body = JSON.stringify(this.#parts.describeState(Number(asked)));
+			const query = new URL(request.url, 'http://node').searchParams;
+			const body = JSON.stringify(this.#parts.describeState({version: Number(query.get('version')), wantsMembers: query.has('members')}));
 			response.writeHead(200, {'content-type': 'application/json', 'content-length': Buffer.byteLength(body)}).end(body);
 			return;
 		}
