Test the retry budget over fleets of 11, 89 and 2,500 nodes

With uneven traffic the sum stays within what the users allow at each size. The tests also ask for half of the planned retries: fleets whose nodes have a share of the slack below one get none.

--- a/packages/callers/src/test/retry-budget_test.ts
+++ b/packages/callers/src/test/retry-budget_test.ts
@@ -1,3 +1,4 @@
+import {SeededRandom} from '@ebonylead/base/random.js';
 import {describe, it} from '@ebonylead/stand-ins/describe.js';
 import {RetryBudget} from '../retry-budget.js';
 
@@ -31,4 +32,40 @@
 			t.true(taken <= slack, `${nodes} nodes took ${taken}`);
 		}
 	});
+
+	describe('over a fleet', () => {
+		/** Bounds of the users' sites: retries for each call, and beyond that for the whole fleet, in each window. */
+		const allowedRatio = 0.2;
+		const allowedSlack = 62;
+
+		/** Nodes plan with half of both, as calls that a repeated call makes count too. */
+		const plannedShare = 0.5;
+		const calls = 20_000;
+
+		/** Sends calls to nodes, most of them to few, and tries each again as often as its node allows. */
+		function countRetries(nodes: number, seed: number): number {
+			const random = new SeededRandom(seed);
+			const budgets = Array.from({length: nodes}, () => new RetryBudget(allowedRatio * plannedShare, () => allowedSlack * plannedShare / nodes));
+			let retries = 0;
+			for (let call = 0; call < calls; call++) {
+				const budget = budgets[Math.floor(nodes * (random.next() ** 3))]!;
+				budget.recordCall('s');
+				while (budget.takeRetry('s')) {
+					retries++;
+				}
+			}
+
+			return retries;
+		}
+
+		for (const nodes of [11, 89, 2500]) {
+			it(`of ${nodes} nodes with uneven traffic stays within what the users allow`, t => {
+				t.true(countRetries(nodes, 1) <= (calls * allowedRatio) + allowedSlack);
+			});
+
+			it(`of ${nodes} nodes allows half of the planned retries or more`, t => {
+				t.true(countRetries(nodes, 1) >= calls * allowedRatio * plannedShare / 2);
+			});
+		}
+	});
 });
