--- a/packages/callers/src/test/call-helpers.ts
+++ b/packages/callers/src/test/call-helpers.ts
@@ -15,8 +15,6 @@
 	'GET a.example/narrow -> s slots 1 deadline 300ms # A',
 ];
 
-const settleLimit = 20_000;
-
 /** What a caller got. */
 export type Answer = {
 	readonly status: number;
@@ -68,21 +66,3 @@
 	const {body} = await pending;
 	return JSON.parse(body) as Record<string, string>;
 }
-
-async function delay(duration: number): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, duration);
-	});
-}
-
-/** Waits until a check holds; a check that does not come to hold fails the test. */
-export async function settle(check: () => boolean): Promise<void> {
-	const end = Date.now() + settleLimit;
-	while (!check()) {
-		if (Date.now() > end) {
-			throw new Error('the check did not come to hold');
-		}
-
-		await delay(1);
-	}
-}
--- a/packages/callers/src/test/call_test.ts
+++ b/packages/callers/src/test/call_test.ts
@@ -1,9 +1,10 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {buffer} from 'node:stream/consumers';
 import {describe, it} from '@ebonylead/stand-ins/describe.js';
+import {settle} from '@ebonylead/stand-ins/settle.js';
 import {request} from 'undici';
 import {
-	answerWith, call, expectAnswer, readEcho, settle, withHarness,
+	answerWith, call, expectAnswer, readEcho, withHarness,
 } from './call-helpers.js';
 
 describe('call', () => {
--- a/packages/callers/src/test/faulty-call_test.ts
+++ b/packages/callers/src/test/faulty-call_test.ts
@@ -1,9 +1,10 @@
 import {text as readText} from 'node:stream/consumers';
 import {DelayRelay} from '@ebonylead/stand-ins/delay-relay.js';
 import {describe, it} from '@ebonylead/stand-ins/describe.js';
+import {settle} from '@ebonylead/stand-ins/settle.js';
 import {type MeshHarness} from '@ebonylead/stand-ins/mesh-harness.js';
 import {
-	answerWith, call, expectAnswer, sendRaw, settle, withHarness, type Answer,
+	answerWith, call, expectAnswer, sendRaw, withHarness, type Answer,
 } from './call-helpers.js';
 
 describe('faulty calls', () => {
--- a/packages/node/src/test/member-directory_test.ts
+++ b/packages/node/src/test/member-directory_test.ts
@@ -3,6 +3,7 @@
 import {MemberState, UpstreamState, type Member} from '@ebonylead/peers/generated/peers.js';
 import {Membership} from '@ebonylead/peers/membership.js';
 import {describe, it} from '@ebonylead/stand-ins/describe.js';
+import {settle} from '@ebonylead/stand-ins/settle.js';
 import {FakeRowStore} from '@ebonylead/stand-ins/fake-row-store.js';
 import {
 	encodeMember, MemberDirectory, memberTable, type RecordedUpstream,
@@ -51,25 +52,12 @@
 	}
 }
 
-async function settle(check: () => boolean): Promise<void> {
-	const end = Date.now() + waitLimit;
-	while (!check()) {
-		if (Date.now() > end) {
-			throw new Error('the check did not come to hold');
-		}
-
-		await new Promise(resolve => {
-			setTimeout(resolve, 1);
-		});
-	}
-}
-
 describe('member directory', () => {
 	describe('row of this node', () => {
 		it('is written at the start and with each change', async t => {
 			const store = new FakeRowStore();
 			await withDirectory(store, async directory => {
-				await settle(() => store.has(memberTable, 'n1'));
+				await settle(() => store.has(memberTable, 'n1'), 'the directory', waitLimit);
 				await directory.change({upstreamState: UpstreamState.DRAINING}, waitLimit, upstream);
 				t.like(JSON.parse(store.readValue(memberTable, 'n1')!), {upstreamState: UpstreamState.DRAINING, upstream});
 			});
@@ -109,7 +97,7 @@
 			const store = new FakeRowStore();
 			store.put(memberTable, 'n1', encodeMember(self, upstream));
 			await withDirectory(store, async (_directory, _membership, restored) => {
-				await settle(() => restored.count > 0);
+				await settle(() => restored.count > 0, 'the directory', waitLimit);
 				t.deepEqual(restored, {count: 1, upstream});
 			});
 		});
@@ -120,10 +108,10 @@
 			const store = new FakeRowStore();
 			store.put(memberTable, 'n2', encodeMember({...self, id: 'n2'}));
 			await withDirectory(store, async (_directory, membership) => {
-				await settle(() => membership.listReady('s').length === 2);
+				await settle(() => membership.listReady('s').length === 2, 'the directory', waitLimit);
 				store.forgetHistory();
 				store.put(memberTable, 'n2', undefined);
-				await settle(() => membership.findMember('n2')?.state === MemberState.LEFT);
+				await settle(() => membership.findMember('n2')?.state === MemberState.LEFT, 'the directory', waitLimit);
 				t.is(membership.listReady('s').length, 1);
 			});
 		});
@@ -132,10 +120,10 @@
 			const store = new FakeRowStore();
 			store.put(memberTable, 'n2', encodeMember({...self, id: 'n2'}));
 			await withDirectory(store, async (_directory, membership) => {
-				await settle(() => membership.listReady('s').length === 2);
+				await settle(() => membership.listReady('s').length === 2, 'the directory', waitLimit);
 				store.put(memberTable, 'n2', '{"host":');
 				store.put(memberTable, 'n3', encodeMember({...self, id: 'n3'}));
-				await settle(() => membership.findMember('n3') !== undefined);
+				await settle(() => membership.findMember('n3') !== undefined, 'the directory', waitLimit);
 				t.is(membership.findMember('n2')?.state, MemberState.ALIVE);
 			});
 		});
@@ -144,10 +132,10 @@
 			const store = new FakeRowStore();
 			store.put(memberTable, 'n2', encodeMember({...self, id: 'n2'}));
 			await withDirectory(store, async (directory, membership) => {
-				await settle(() => membership.listReady('s').length === 2);
+				await settle(() => membership.listReady('s').length === 2, 'the directory', waitLimit);
 				store.isDown = true;
 				store.forgetHistory();
-				await settle(() => directory.isLost);
+				await settle(() => directory.isLost, 'the directory', waitLimit);
 				t.is(membership.listReady('s').length, 2);
 			});
 		});
--- a/packages/node/src/test/peer-state_test.ts
+++ b/packages/node/src/test/peer-state_test.ts
@@ -6,6 +6,7 @@
 import {MemberState, UpstreamState, type Member} from '@ebonylead/peers/generated/peers.js';
 import {Membership} from '@ebonylead/peers/membership.js';
 import {describe, it} from '@ebonylead/stand-ins/describe.js';
+import {settle} from '@ebonylead/stand-ins/settle.js';
 import {PeerFollower, type PeerFollowerParts} from '../peer-state.js';
 
 const host = '127.0.0.1';
@@ -67,19 +68,6 @@
 	}
 }
 
-async function waitFor(check: () => boolean): Promise<void> {
-	const end = Date.now() + waitLimit;
-	while (!check()) {
-		if (Date.now() > end) {
-			throw new Error('the check did not come to hold');
-		}
-
-		await new Promise(resolve => {
-			setTimeout(resolve, 1);
-		});
-	}
-}
-
 describe('peer follower', () => {
 	it('leaves a version that it hears of to the store for a moment', async t => {
 		let version = 1;
@@ -98,7 +86,7 @@
 
 	it('asks a peer while the store does not answer', async t => {
 		await withFollower({isStoreLost: () => true}, async ({getVersion}) => {
-			await waitFor(() => getVersion() === peerVersion);
+			await settle(() => getVersion() === peerVersion, 'the follower', waitLimit);
 			t.pass();
 		});
 	});
@@ -106,7 +94,7 @@
 	it('asks the node whose call told of a later version, though the store seems well', async t => {
 		await withFollower({}, async ({follower, origin, getVersion}) => {
 			follower.recordVersion(peerVersion, origin);
-			await waitFor(() => getVersion() === peerVersion);
+			await settle(() => getVersion() === peerVersion, 'the follower', waitLimit);
 			t.pass();
 		});
 	});
@@ -114,14 +102,14 @@
 	it('asks another peer where that node does not answer', async t => {
 		await withFollower({}, async ({follower, getVersion}) => {
 			follower.recordVersion(peerVersion, `http://${host}:1`);
-			await waitFor(() => getVersion() === peerVersion);
+			await settle(() => getVersion() === peerVersion, 'the follower', waitLimit);
 			t.pass();
 		});
 	});
 
 	it('asks a seed where it knows no member and the store does not answer', async t => {
 		await withFollower({isStoreLost: () => true, membership: new Membership(), seedHosts: [host]}, async ({getVersion}) => {
-			await waitFor(() => getVersion() === peerVersion);
+			await settle(() => getVersion() === peerVersion, 'the follower', waitLimit);
 			t.pass();
 		});
 	});
