Refuse every queued call when admission control closes

Callers saw calls wait at an upstream that was leaving, and one of them admitted there when a slot was released. `close` and the check of deadlines went through the queue while each refusal took its call out, so that every second call was passed over. A refused suspect also started the calls behind it during `close`.

The calls are now taken out of the queue first, and refused together. No other loop of the packages takes elements out of the list that it goes through.

--- a/packages/upstreams/src/admission.ts
+++ b/packages/upstreams/src/admission.ts
@@ -143,9 +143,7 @@
 	/** Refuses all new and queued calls; running calls are not affected. */
 	close(): void {
 		this.#isClosed = true;
-		for (const queued of this.#queue) {
-			this.#refuse(queued, refusalCauses.leaving);
-		}
+		this.#refuseAll(this.#queue.splice(0), refusalCauses.leaving);
 	}
 
 	/** Admits calls again after `close`. */
@@ -259,12 +257,12 @@
 
 	#refuseNearDeadline(): void {
 		const now = this.#clock.now();
-		for (const queued of this.#queue) {
-			const {deadline, route} = queued.request;
-			if (deadline < now + Math.max(minRefusalMarginMs, this.#serviceTimes.estimate(route))) {
-				this.#refuse(queued, refusalCauses.deadlineNear);
-			}
+		const near = this.#queue.filter(({request: {deadline, route}}) => deadline < now + Math.max(minRefusalMarginMs, this.#serviceTimes.estimate(route)));
+		for (const queued of near) {
+			this.#remove(queued);
 		}
+
+		this.#refuseAll(near, refusalCauses.deadlineNear);
 	}
 
 	/** Refuses the oldest call of the caller that has the most queued calls of the lowest priority. */
@@ -285,12 +283,20 @@
 
 	#refuse(queued: QueuedCall, cause: AdmissionRefusalCause): void {
 		if (this.#remove(queued)) {
-			queued.resolve(this.#buildRefusal(queued.request, cause));
-			// The others may have been waiting behind an exclusive call.
-			this.#startQueued();
+			this.#refuseAll([queued], cause);
 		}
 	}
 
+	/** Refuses calls that were removed from the queue. */
+	#refuseAll(removed: readonly QueuedCall[], cause: AdmissionRefusalCause): void {
+		for (const {request, resolve} of removed) {
+			resolve(this.#buildRefusal(request, cause));
+		}
+
+		// The others may have been waiting behind an exclusive call.
+		this.#startQueued();
+	}
+
 	#remove(queued: QueuedCall): boolean {
 		const index = this.#queue.indexOf(queued);
 		if (index !== -1) {
--- a/packages/upstreams/src/test/admission_test.ts
+++ b/packages/upstreams/src/test/admission_test.ts
@@ -164,6 +164,40 @@
 		t.like(await control.admit(buildRequest()), {kind: 'admitted'});
 	});
 
+	it('refuses every queued call when the upstream leaves, and admits none of them when a slot is released', async t => {
+		const control = new AdmissionControl(new FakeClock(), 1);
+		const running = await control.admit(buildRequest());
+		const queued = Array.from({length: 4}, () => submit(control, buildRequest()));
+		control.close();
+		release(running);
+		await waitForImmediate();
+		t.deepEqual(queued.map(({result}) => result?.kind), ['refused', 'refused', 'refused', 'refused']);
+		t.is(control.waiting, 0);
+		t.is(control.running, 0);
+	});
+
+	it('admits no queued call while it closes, although a suspect that held up the others is refused', async t => {
+		const control = new AdmissionControl(new FakeClock(), 2);
+		await control.admit(buildRequest());
+		submit(control, buildRequest({isExclusive: true}));
+		const later = submit(control, buildRequest());
+		control.close();
+		await waitForImmediate();
+		t.is(later.result?.kind, 'refused');
+		t.is(control.running, 1);
+	});
+
+	it('refuses all queued calls whose deadline has come near in one check', async t => {
+		const clock = new FakeClock();
+		const control = new AdmissionControl(clock, 1);
+		await control.admit(buildRequest());
+		const queued = Array.from({length: 4}, () => submit(control, buildRequest({deadline: 405})));
+		await clock.advance(389);
+		t.true(queued.every(({result}) => result === undefined));
+		await clock.advance(5);
+		t.deepEqual(queued.map(({result}) => result?.kind), ['refused', 'refused', 'refused', 'refused']);
+	});
+
 	describe('under overload', () => {
 		/** Occupies all slots, after one call that sets the mean duration. */
 		async function createSaturated(clock: FakeClock, slots: number, durationMs: number): Promise<{control: AdmissionControl; running: Admission[]}> {
