Look for request headers that take too long every 500 ms

Clients that began a request and did not end its header kept their connection for up to 30 s, where the configuration says 3 s. Node searches for such connections each `connectionsCheckingInterval`, 30 s by default, and the entry's listener set none. It searches twice a second now; the search goes only through connections on which a request has begun and did not end.

--- a/packages/callers/src/callers.ts
+++ b/packages/callers/src/callers.ts
@@ -51,6 +51,9 @@
 
 /** Keep-alive timeout of callers' connections until `setLimits` is called. */
 const keepAliveTimeoutMs = 30_000;
+
+/** Interval between two searches for connections whose request header has taken too long; Node's default is 30 s. */
+const headerCheckIntervalMs = 500;
 const maxHeaderBytes = 16 * 1024;
 const statusTooLarge = 413;
 const statusUnavailable = 503;
@@ -69,7 +72,8 @@
 
 	constructor(dependencies: CallerListenerDependencies) {
 		this.#dependencies = dependencies;
-		this.#server = createServer({keepAliveTimeout: keepAliveTimeoutMs, maxHeaderSize: maxHeaderBytes}, (request, response) => {
+		const options = {keepAliveTimeout: keepAliveTimeoutMs, maxHeaderSize: maxHeaderBytes, connectionsCheckingInterval: headerCheckIntervalMs};
+		this.#server = createServer(options, (request, response) => {
 			void this.#handleRequest(request, response);
 		});
 	}
