Let nodes of large fleets retry calls

Where the share is a little above one, a node held one retry, however many calls it served. The bucket was as large as the share, so that what calls added was lost.

A node now holds the whole tokens of its share and what its calls of the last seconds added, and admits a retry from a random part of a token on, so that the expected number of retries in a fleet of any size is the number of tokens. docs/DESIGN.md has the bound for sliding windows.

--- a/packages/callers/src/retry-budget.ts
+++ b/packages/callers/src/retry-budget.ts
@@ -1,41 +1,99 @@
 /** Limits retries to a share of the calls, so that retries don't amplify an outage. */
+import {SystemClock, type Clock, type Random} from '@ebonylead/base/base.js';
+import {SystemRandom} from '@ebonylead/base/random.js';
 
 /** Default number of tokens that each call adds. */
 const defaultRatio = 0.1;
 
-/** Default size of the bucket: the maximum number of retries at once after a time without any. */
+/** Default size of the reserve: the maximum number of retries at once after a time without any. */
 const defaultMaxTokens = 10;
 
-/** Keeps a token bucket for each service: a call adds a part of a token, and a retry takes a whole one. */
+/** Time constant in milliseconds with which tokens that calls added expire: short compared with the window of a limit on retries. */
+const tokenDecayMs = 2000;
+
+/** Tokens of one service on this node. */
+type Account = {
+	/** Tokens for retries; below zero after a retry on a part of a token. */
+	tokens: number;
+
+	/** Tokens spent on retries that were not admitted; they count for the next one, and don't expire. */
+	staked: number;
+
+	/** Tokens that recent calls added, decayed with their age, whether they were used or not. */
+	added: number;
+	addedAt: number;
+
+	/** Number of tokens, above 0 and at most 1, that admits the next retry. */
+	threshold: number;
+};
+
+/**
+ * Keeps tokens for each service: a call adds a part of a token, and a retry takes a whole one.
+ *
+ * A node may hold what its recent calls added, and a reserve: the whole tokens
+ * in its share of the fleet's reserve. It admits a retry from a random part of
+ * a token on, so that in a fleet of any size the expected number of retries is
+ * the number of tokens; docs/DESIGN.md has the bound.
+ */
 export class RetryBudget {
 	readonly #ratio: number;
 	readonly #getMaxTokens: () => number;
-	readonly #tokens = new Map<string, number>();
+	readonly #clock: Clock;
+	readonly #random: Random;
+	readonly #accounts = new Map<string, Account>();
 
 	/**
 	 * @param ratio Tokens that each call adds.
-	 * @param getMaxTokens Returns the size of the bucket; it may change with the size of the fleet.
+	 * @param getMaxTokens Returns the node's share of the reserve; it may change with the size of the fleet.
 	 */
-	constructor(ratio = defaultRatio, getMaxTokens = () => defaultMaxTokens) {
+	constructor(ratio = defaultRatio, getMaxTokens = () => defaultMaxTokens, clock: Clock = new SystemClock(), random: Random = new SystemRandom()) {
 		this.#ratio = ratio;
 		this.#getMaxTokens = getMaxTokens;
+		this.#clock = clock;
+		this.#random = random;
 	}
 
-	/** Records a call, which adds `ratio` tokens to the bucket of its service. */
+	/** Records a call, which adds `ratio` tokens to the account of its service. */
 	recordCall(service: string): void {
-		const maxTokens = this.#getMaxTokens();
-		const tokens = this.#tokens.get(service) ?? maxTokens;
-		this.#tokens.set(service, Math.min(maxTokens, tokens + this.#ratio));
+		const account = this.#getAccount(service);
+		account.added += this.#ratio;
+		account.tokens += this.#ratio;
 	}
 
 	/** Takes a token for a retry, and returns whether there was one. */
 	admitRetry(service: string): boolean {
-		const tokens = this.#tokens.get(service) ?? this.#getMaxTokens();
-		if (tokens < 1) {
+		const account = this.#getAccount(service);
+		if (account.tokens + account.staked < account.threshold) {
+			account.staked += Math.max(0, account.tokens);
+			account.tokens = Math.min(0, account.tokens);
 			return false;
 		}
 
-		this.#tokens.set(service, tokens - 1);
+		account.tokens -= 1 - account.staked;
+		account.staked = 0;
+		account.threshold = this.#createThreshold();
 		return true;
 	}
+
+	/** Returns the account of a service without the tokens that have expired. */
+	#getAccount(service: string): Account {
+		const now = this.#clock.now();
+		const reserve = Math.floor(this.#getMaxTokens());
+		let account = this.#accounts.get(service);
+		if (account === undefined) {
+			account = {
+				tokens: reserve, staked: 0, added: 0, addedAt: now, threshold: this.#createThreshold(),
+			};
+			this.#accounts.set(service, account);
+		}
+
+		account.added *= Math.exp((account.addedAt - now) / tokenDecayMs);
+		account.addedAt = now;
+		account.tokens = Math.min(account.tokens, reserve + account.added);
+		return account;
+	}
+
+	#createThreshold(): number {
+		return 1 - this.#random.next();
+	}
 }
--- a/packages/callers/src/test/retry-budget_test.ts
+++ b/packages/callers/src/test/retry-budget_test.ts
@@ -1,5 +1,6 @@
 import {SeededRandom} from '@ebonylead/base/random.js';
 import {describe, it} from '@ebonylead/stand-ins/describe.js';
+import {FakeClock} from '@ebonylead/stand-ins/fake-clock.js';
 import {RetryBudget} from '../retry-budget.js';
 
 /** Requests retries until the budget admits no more, and counts those that it admitted. */
@@ -67,5 +68,59 @@
 				t.true(countRetries(nodes, 1) >= calls * allowedRatio * plannedShare / 2);
 			});
 		}
+
+		describe('in a sliding window', () => {
+			const windowSeconds = 10;
+			const stepsPerSecond = 2;
+			const windowSteps = windowSeconds * stepsPerSecond;
+
+			/** Calls and retries of a fleet in each half second. */
+			type Step = {calls: number; retries: number};
+
+			/** Sends calls to a fleet, a quiet time between two outages in which each call asks for up to two retries; the traffic falls to a tenth during the second. */
+			function runOutages(nodes: number, callsPerSecond: number, skew: number): Step[] {
+				const random = new SeededRandom(nodes);
+				const clock = new FakeClock();
+				const budgets = Array.from({length: nodes}, () => new RetryBudget(allowedRatio * plannedShare, () => allowedSlack * plannedShare / nodes, clock, random));
+				return Array.from({length: 80 * stepsPerSecond}, (_, index) => {
+					const second = index / stepsPerSecond;
+					const maxRetries = (second >= 20 && second < 40) || second >= 60 ? 2 : 0;
+					const calls = callsPerSecond / stepsPerSecond / (second >= 62 ? 10 : 1);
+					let retries = 0;
+					for (let call = 0; call < calls; call++) {
+						const budget = budgets[Math.floor(nodes * (random.next() ** skew))]!;
+						budget.recordCall('s');
+						for (let retry = 0; retry < maxRetries; retry++) {
+							retries += budget.admitRetry('s') ? 1 : 0;
+						}
+					}
+
+					clock.jump(1000 / stepsPerSecond);
+					return {calls, retries};
+				});
+			}
+
+			function sum(steps: readonly Step[], field: keyof Step, start: number): number {
+				return steps.slice(Math.max(0, start), Math.max(0, start + windowSteps)).reduce((total, step) => total + step[field], 0);
+			}
+
+			for (const nodes of [11, 70, 89, 300, 2500]) {
+				for (const [traffic, skew] of [['even', 1], ['uneven', 3]] as const) {
+					it(`of ${nodes} nodes with ${traffic} traffic stays within what the users allow, and uses a quarter of it or more`, t => {
+						for (const callsPerSecond of [20, 200, 1000]) {
+							const steps = runOutages(nodes, callsPerSecond, skew);
+							for (let start = 0; start + windowSteps <= steps.length; start++) {
+								const calls = Math.max(...[start, start - (windowSteps / 2), start - windowSteps].map(first => sum(steps, 'calls', first)));
+								const retries = sum(steps, 'retries', start);
+								t.true(retries <= (calls * allowedRatio) + allowedSlack, `${retries} retries beside ${calls} calls from step ${start}`);
+							}
+
+							const [calls, retries] = [sum(steps, 'calls', 50), sum(steps, 'retries', 50)];
+							t.true(retries >= calls * allowedRatio / 4, `${retries} retries of ${calls} calls in the outage`);
+						}
+					});
+				}
+			}
+		});
 	});
 });
--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -158,7 +158,7 @@
 			pools: this.#pools,
 			protocol: callerProtocol,
 			callAges: new CallAges(),
-			retryBudget: new RetryBudget(settings.retryRatio, () => settings.retrySlack / Math.max(1, this.#membership.aliveCount)),
+			retryBudget: new RetryBudget(settings.retryRatio, () => settings.retrySlack / Math.max(1, this.#membership.aliveCount), clock, random),
 			metrics: new CallMetrics(registry),
 			requestIds: new RequestIds(random),
 			burnCounters: new BurnCounters(clock),
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -151,7 +151,7 @@
 			pools: this.#pools,
 			protocol: new DefaultCallerProtocol(),
 			callAges: new CallAges(),
-			retryBudget: new RetryBudget(),
+			retryBudget: new RetryBudget(undefined, undefined, clock, random),
 			metrics: new CallMetrics(this.#registry),
 			requestIds: new RequestIds(random),
 			burnCounters: this.#burn,
--- a/packages/stand-ins/src/mesh-harness.ts
+++ b/packages/stand-ins/src/mesh-harness.ts
@@ -78,7 +78,7 @@
 			pools: this.#pools,
 			protocol: new DefaultCallerProtocol(),
 			callAges: new CallAges(),
-			retryBudget: new RetryBudget(),
+			retryBudget: new RetryBudget(undefined, undefined, this.#clock, random),
 			metrics: new CallMetrics(new Registry()),
 			requestIds: new RequestIds(random),
 			burnCounters: new BurnCounters(this.#clock),
