Test that a call is not given up while its sidecar is silent

Callers saw a 502 of the node while the upstream was at work on their request. An attempt ends after 300 to 800 ms without a byte from the sidecar, whatever the upstream does.

The relay of the stand-ins can pause connections and blackhole one direction.

--- a/packages/stand-ins/src/delay-relay.ts
+++ b/packages/stand-ins/src/delay-relay.ts
@@ -1,4 +1,4 @@
-/** TCP relay that emulates the network between two data centres: it delays data, and can blackhole connections. */
+/** TCP relay that emulates the network between two data centres: it delays data, and can pause it or blackhole connections. */
 import {
 	connect, createServer, type Server, type Socket,
 } from 'node:net';
@@ -16,11 +16,23 @@
 	readonly delay: number;
 };
 
+/** Directions in which the data of a connection can be blackholed. */
+export const relayDirections = {
+	both: 'both',
+
+	/** From the target to the client. */
+	toClient: 'to-client',
+} as const;
+
+/** One of `relayDirections`. */
+export type RelayDirection = typeof relayDirections[keyof typeof relayDirections];
+
 /** Relays TCP connections, and delays their data in both directions. */
 export class DelayRelay {
 	readonly #options: DelayRelayOptions;
 	readonly #servers: Server[] = [];
 	readonly #connections = new Set<RelayedConnection>();
+	#isPaused = false;
 
 	constructor(options: DelayRelayOptions) {
 		this.#options = options;
@@ -38,6 +50,10 @@
 			const server = createServer({noDelay: true}, socket => {
 				const connection = new RelayedConnection(socket, connect({host: targetHost, port, noDelay: true}), delay);
 				this.#connections.add(connection);
+				if (this.#isPaused) {
+					connection.pause();
+				}
+
 				connection.setCloseHandler(() => {
 					this.#connections.delete(connection);
 				});
@@ -50,9 +66,25 @@
 	}
 
 	/** Blackholes the open connections: data and closing are no longer forwarded, so both ends stay open; new connections work. */
-	blackholeOpenConnections(): void {
+	blackholeOpenConnections(direction: RelayDirection = relayDirections.both): void {
+		for (const connection of this.#connections) {
+			connection.blackholed = direction;
+		}
+	}
+
+	/** Pauses all connections, new ones too: they stay open, and data and closing are held back until `resume`. */
+	pause(): void {
+		this.#isPaused = true;
 		for (const connection of this.#connections) {
-			connection.isBlackholed = true;
+			connection.pause();
+		}
+	}
+
+	/** Forwards what `pause` has held back, in its order. */
+	resume(): void {
+		this.#isPaused = false;
+		for (const connection of this.#connections) {
+			connection.resume();
 		}
 	}
 
@@ -70,11 +102,12 @@
 
 /** A relayed connection: the socket of its client, and the socket to its target. */
 class RelayedConnection {
-	isBlackholed = false;
+	blackholed: RelayDirection | undefined;
 	readonly #clientSocket: Socket;
 	readonly #targetSocket: Socket;
 	readonly #delay: number;
 	#handleClose: (() => void) | undefined;
+	#heldBack: Array<() => void> | undefined;
 
 	constructor(clientSocket: Socket, targetSocket: Socket, delay: number) {
 		this.#clientSocket = clientSocket;
@@ -88,6 +121,18 @@
 		this.#handleClose = handle;
 	}
 
+	pause(): void {
+		this.#heldBack ??= [];
+	}
+
+	resume(): void {
+		const heldBack = this.#heldBack ?? [];
+		this.#heldBack = undefined;
+		for (const callback of heldBack) {
+			callback();
+		}
+	}
+
 	destroy(): void {
 		this.#clientSocket.destroy();
 		this.#targetSocket.destroy();
@@ -96,33 +141,39 @@
 
 	#forward(from: Socket, to: Socket): void {
 		from.on('data', chunk => {
-			this.#runDelayed(() => {
+			this.#runDelayed(to, () => {
 				to.write(chunk);
 			});
 		});
 		from.on('end', () => {
-			this.#runDelayed(() => {
+			this.#runDelayed(to, () => {
 				to.end();
 			});
 		});
 		from.on('error', () => {
-			this.#runDelayed(() => {
+			this.#runDelayed(to, () => {
 				to.destroy();
 			});
 		});
 		from.on('close', () => {
-			this.#runDelayed(() => {
+			this.#runDelayed(to, () => {
 				to.destroy();
 				this.#handleClose?.();
 			});
 		});
 	}
 
-	#runDelayed(callback: () => void): void {
+	#runDelayed(to: Socket, callback: () => void): void {
 		setTimeout(() => {
-			if (!this.isBlackholed) {
+			if (this.#heldBack) {
+				this.#heldBack.push(callback);
+			} else if (!this.#isBlackholed(to)) {
 				callback();
 			}
 		}, this.#delay);
 	}
+
+	#isBlackholed(to: Socket): boolean {
+		return this.blackholed === relayDirections.both || (this.blackholed === relayDirections.toClient && to === this.#clientSocket);
+	}
 }
--- a/packages/stand-ins/src/mesh-harness.ts
+++ b/packages/stand-ins/src/mesh-harness.ts
@@ -27,6 +27,7 @@
 import {DefaultUpstreamProtocol} from '@ebonylead/upstreams/upstream-protocol.js';
 import {LocalUpstream} from '@ebonylead/upstreams/local-upstream.js';
 import {Registry} from 'prom-client';
+import {DelayRelay} from './delay-relay.js';
 
 /** Handles a request at an upstream. */
 export type UpstreamHandler = (request: IncomingMessage, response: ServerResponse) => void;
@@ -68,6 +69,7 @@
 	readonly #clock = new SystemClock();
 	readonly #pools = new MeshPools(this.#clock);
 	readonly #entryNode: CallerListener;
+	readonly #relays: DelayRelay[] = [];
 	#version = 0;
 
 	constructor(seed = 1) {
@@ -137,6 +139,24 @@
 		return vm;
 	}
 
+	/** Starts the graceful stop of the entry node: it refuses new calls, and calls in flight continue. */
+	drainEntryNode(): void {
+		this.#entryNode.disableKeepAlive();
+		this.#entryNode.refuseNewCalls();
+	}
+
+	/** Starts a relay before the sidecar of a VM; from then on the entry node reaches the sidecar through it. */
+	async addRelay(vm: HarnessVm, relayHost: string): Promise<DelayRelay> {
+		const relay = new DelayRelay({
+			listenHost: relayHost, targetHost: host, ports: [vm.meshListener.port], delay: 0,
+		});
+		await relay.start();
+		this.#relays.push(relay);
+		const member = this.membership.findMember(vm.id)!;
+		this.membership.merge([{...member, host: relayHost, incarnation: member.incarnation + 1}], 0);
+		return relay;
+	}
+
 	/** Cancels the calls in flight at the entry node. */
 	cancelCalls(): void {
 		this.#entryNode.cancelCalls('this node stops');
@@ -147,6 +167,10 @@
 		this.#entryNode.close();
 		this.#entryNode.closeAllConnections();
 		await this.#pools.close();
+		for (const relay of this.#relays) {
+			relay.stop();
+		}
+
 		await Promise.all(this.vms.map(async vm => {
 			vm.meshListener.close();
 			vm.meshListener.closeAllConnections();
