Let a sidecar tell the states of attempts

An entry node that gets no byte from a sidecar can't tell a sidecar that is short of processor time, or a full link, from a connection that is dead. The answer also says how far back the sidecar knows all attempts, which a new process on the same port does not.

Interim responses go only to entry nodes that send no attempt id. The request carries a service header that no upstream has, so that a node of an earlier version refuses it in place of passing it on.

--- a/packages/upstreams/src/mesh-call.ts
+++ b/packages/upstreams/src/mesh-call.ts
@@ -2,6 +2,7 @@
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {describeError} from '@ebonylead/base/errors.js';
+import {type AttemptRegistry, type RegisteredAttempt} from './attempt-registry.js';
 import {Cancellation} from './cancellation.js';
 import {type InFlightCall} from './crash-detector.js';
 import {computeFingerprint} from './fingerprint.js';
@@ -18,7 +19,7 @@
 /** Deadline of a call without a deadline header. */
 const defaultDeadlineMs = 2000;
 
-/** Interval of the interim responses to the entry node while a call is pending; the progress timeout there is several times as long. */
+/** Interval of the interim responses while a call is pending. Only entry nodes of an earlier version, which send no attempt id, need them. */
 const interimResponseIntervalMs = 100;
 const unreachableRetryAfterMs = 1000;
 
@@ -32,34 +33,42 @@
 /** Admits one call, forwards it to the upstream, and reports its outcome to the entry node. */
 export class MeshCall {
 	readonly #dependencies: MeshListenerDependencies;
+	readonly #attempts: AttemptRegistry;
 	readonly #request: IncomingMessage;
 	readonly #response: ServerResponse;
 	readonly #cancellation = new Cancellation();
+	readonly #attemptId: string | undefined;
 	readonly #deadline: number;
 	readonly #startedAt: number;
+	#attempt: RegisteredAttempt | undefined;
 	#body: RequestBody;
 	#crashCount = 0;
 
-	constructor(dependencies: MeshListenerDependencies, request: IncomingMessage, response: ServerResponse) {
+	constructor(dependencies: MeshListenerDependencies, attempts: AttemptRegistry, request: IncomingMessage, response: ServerResponse) {
 		this.#dependencies = dependencies;
+		this.#attempts = attempts;
 		this.#request = request;
 		this.#response = response;
+		this.#attemptId = readHeader(request, meshHeaders.attemptId);
 		this.#deadline = readPositiveInteger(request, meshHeaders.deadline) ?? defaultDeadlineMs;
 		this.#startedAt = dependencies.clock.now();
 	}
 
 	/** Handles the call until its response or refusal is sent, or the call is cancelled. */
 	async run(): Promise<void> {
+		if (!this.#registerAttempt()) {
+			this.#refuse({
+				status: statusUnavailable, outcome: outcomes.notRun, cause: refusalCauses.cancelled, reason: 'the entry node was told that this attempt had not arrived',
+			});
+			return;
+		}
+
 		const deadlineTimer = setTimeout(() => {
 			this.#cancellation.cancel(new Error('the deadline passed'));
 		}, this.#deadline);
-		// Interim responses let the entry node distinguish a slow upstream from an unresponsive connection.
-		const interimTimer = setInterval(() => {
-			if (!this.#response.headersSent) {
-				this.#response.writeProcessing();
-			}
-		}, interimResponseIntervalMs);
+		const interimTimer = this.#attemptId === undefined ? this.#startInterimResponses() : undefined;
 		this.#response.on('close', () => {
+			this.#attempt?.end();
 			if (!this.#response.writableFinished) {
 				this.#cancellation.cancel(new Error('the caller closed its connection'));
 			}
@@ -72,6 +81,25 @@
 		}
 	}
 
+	/** Registers the attempt if it has an id; returns false if it must not run. */
+	#registerAttempt(): boolean {
+		if (this.#attemptId === undefined) {
+			return true;
+		}
+
+		this.#attempt = this.#attempts.register(this.#attemptId, this.#deadline);
+		return this.#attempt !== undefined;
+	}
+
+	/** Sends interim responses, by which the entry node distinguishes a slow upstream from an unresponsive connection. */
+	#startInterimResponses(): NodeJS.Timeout {
+		return setInterval(() => {
+			if (!this.#response.headersSent) {
+				this.#response.writeProcessing();
+			}
+		}, interimResponseIntervalMs);
+	}
+
 	async #admitAndRun(): Promise<void> {
 		const {localUpstream} = this.#dependencies;
 		const service = readHeader(this.#request, meshHeaders.service);
@@ -113,6 +141,7 @@
 			return;
 		}
 
+		this.#attempt?.setRunning();
 		try {
 			await this.#runAdmitted(quarantineStatus);
 		} finally {
--- a/packages/upstreams/src/mesh-listener.ts
+++ b/packages/upstreams/src/mesh-listener.ts
@@ -8,6 +8,10 @@
 import {type DecisionLog} from '@ebonylead/base/decision-log.js';
 import {type Logger} from '@ebonylead/base/logs.js';
 import {listenOn} from '@ebonylead/base/listening.js';
+import {
+	attemptProbePath, attemptProbeService, parseProbePath, type AttemptProbeResponse,
+} from './attempt-probe.js';
+import {AttemptRegistry} from './attempt-registry.js';
 import {type CrashDetector} from './crash-detector.js';
 import {MeshCall} from './mesh-call.js';
 import {type Quarantine} from './quarantine.js';
@@ -53,15 +57,19 @@
 /** Idle connections stay open longer here than at the entry nodes, so that the entry node is the one that closes them. */
 const keepAliveTimeoutMs = 75_000;
 const maxHeaderBytes = 32 * 1024;
+const statusOk = 200;
+const statusBadRequest = 400;
 
 /** Admits calls to the local upstream and forwards them. */
 export class MeshListener {
 	readonly #dependencies: MeshListenerDependencies;
 	readonly #server: Server;
+	readonly #attempts: AttemptRegistry;
 	#inFlightCount = 0;
 
 	constructor(dependencies: MeshListenerDependencies) {
 		this.#dependencies = dependencies;
+		this.#attempts = new AttemptRegistry(dependencies.clock);
 		this.#server = createServer({keepAliveTimeout: keepAliveTimeoutMs, maxHeaderSize: maxHeaderBytes, requestTimeout: 0}, (request, response) => {
 			void this.#handleRequest(request, response);
 		});
@@ -84,6 +92,7 @@
 	 */
 	async listen(host: string, port: number): Promise<void> {
 		await listenOn(this.#server, host, port, 'listen for calls of other nodes');
+		this.#attempts.start();
 	}
 
 	/** Stops accepting connections, and closes idle ones. */
@@ -100,20 +109,35 @@
 	async #handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		if (request.url?.startsWith(statePath) && this.#dependencies.getState) {
 			const query = new URL(request.url, 'http://node').searchParams;
-			const body = JSON.stringify(this.#dependencies.getState({version: Number(query.get('version')), includeMembers: query.has('members')}));
-			response.writeHead(200, {'content-type': 'application/json', 'content-length': Buffer.byteLength(body)}).end(body);
+			sendJson(response, statusOk, this.#dependencies.getState({version: Number(query.get('version')), includeMembers: query.has('members')}));
+			return;
+		}
+
+		if (request.url?.startsWith(attemptProbePath) && readHeader(request, meshHeaders.service) === attemptProbeService) {
+			this.#handleAttemptProbe(request.url, response);
 			return;
 		}
 
 		this.#syncVersions(request, response);
 		this.#inFlightCount++;
 		try {
-			await new MeshCall(this.#dependencies, request, response).run();
+			await new MeshCall(this.#dependencies, this.#attempts, request, response).run();
 		} finally {
 			this.#inFlightCount--;
 		}
 	}
 
+	#handleAttemptProbe(url: string, response: ServerResponse): void {
+		const ids = parseProbePath(url);
+		if (ids === undefined) {
+			sendJson(response, statusBadRequest, {});
+			return;
+		}
+
+		const states: AttemptProbeResponse = {knownFor: this.#attempts.knownFor, states: ids.map(id => this.#attempts.probe(id))};
+		sendJson(response, statusOk, states);
+	}
+
 	/** Exchanges the active versions with the entry node on each call, so that a node without access to the store still learns of later versions. */
 	#syncVersions(request: IncomingMessage, response: ServerResponse): void {
 		const {getVersion, onVersion} = this.#dependencies;
@@ -128,3 +152,8 @@
 		}
 	}
 }
+
+function sendJson(response: ServerResponse, status: number, value: unknown): void {
+	const body = JSON.stringify(value);
+	response.writeHead(status, {'content-type': 'application/json', 'content-length': Buffer.byteLength(body)}).end(body);
+}
--- a/packages/upstreams/src/upstreams.ts
+++ b/packages/upstreams/src/upstreams.ts
@@ -11,6 +11,9 @@
 	/** Number of the attempt, from 1; a call that an upstream makes while it handles a retry carries the number of the retry. */
 	attempt: 'x-ebonylead-attempt',
 
+	/** Identifies one attempt of an entry node at one sidecar. */
+	attemptId: 'x-ebonylead-attempt-id',
+
 	/** Identifies a call in the logs of all nodes and upstreams that it passes. */
 	requestId: 'x-request-id',
 
