End a call at a silent sidecar only on evidence

Callers saw a 502 of the node 0.8 s after their request was sent, while the upstream worked on it: an attempt ended after 300 to 800 ms without a byte from the sidecar, which a sidecar without processor time or a full link also causes.

Now silence (200 to 500 ms) starts a probe on a new connection, one request at a time for all silent attempts of a sidecar. An attempt ends before its deadline only if the sidecar no longer has it: its response was sent more than 500 ms ago, a later process answers, or no process listens (outcome unknown), or it was not received (not run: sent again, a non-idempotent call too). A sidecar that does not respond is ejected and its pool replaced; an idempotent call goes to a second node as well, the first response wins and the other attempt is cancelled.

--- a/packages/callers/src/attempt-headers.ts
+++ b/packages/callers/src/attempt-headers.ts
@@ -7,6 +7,9 @@
 	readonly route: Route;
 	readonly service: string;
 
+	/** Identifies the attempt. */
+	readonly id: string;
+
 	/** Number of the attempt, from 1; a call that is made on behalf of a retry starts with the number of that retry. */
 	readonly attempt: number;
 
@@ -31,6 +34,7 @@
 	const {rule, key} = values.route;
 	headers[meshHeaders.service] = values.service;
 	headers[meshHeaders.route] = key;
+	headers[meshHeaders.attemptId] = values.id;
 	headers[meshHeaders.deadline] = formatDuration(values.timeLeft);
 	if (values.objectiveLeft !== undefined) {
 		headers[meshHeaders.objective] = formatDuration(values.objectiveLeft);
--- /dev/null
+++ b/packages/callers/src/attempt.ts
@@ -0,0 +1,248 @@
+/** One attempt of a call, at one sidecar. */
+import {type ServerResponse} from 'node:http';
+import {describeError} from '@ebonylead/base/errors.js';
+import {type Member} from '@ebonylead/peers/generated/peers.js';
+import {attemptStates} from '@ebonylead/upstreams/attempt-probe.js';
+import {Cancellation} from '@ebonylead/upstreams/cancellation.js';
+import {forwardRequest, type ForwardResult, type ResponseHeaders} from '@ebonylead/upstreams/forward.js';
+import {type RequestBody} from '@ebonylead/upstreams/request-body.js';
+import {meshHeaders} from '@ebonylead/upstreams/upstreams.js';
+import {type SilentAttempt} from './attempt-prober.js';
+import {attemptVerdicts, chooseVerdict, type ProbeOutcome} from './attempt-verdict.js';
+import {type CallerListenerDependencies} from './callers.js';
+
+/** Bounds in milliseconds of the time without a byte from the sidecar after which it is probed. */
+const minSilenceMs = 200;
+const maxSilenceMs = 500;
+
+/** That time as a share of the time that the attempt has, before the bounds apply. */
+const silenceShare = 0.25;
+
+/** Time in milliseconds without a connection after which a node counts as unreachable, even if the call was cancelled in the meantime. */
+const unreachableAfterMs = 150;
+
+/** Number of probes in a row without a response after which the upstream is ejected. */
+const maxFailedProbes = 2;
+
+/** How an attempt ended: as its request did, or the sidecar told that it had not received it. */
+export type AttemptResult = ForwardResult | {readonly kind: 'not-received'; readonly error: Error};
+
+/** What is sent, and for which call. */
+export type AttemptOptions = {
+	/** Identifies the attempt at the sidecar. */
+	readonly id: string;
+	readonly member: Member;
+	readonly method: string;
+	readonly path: string;
+	readonly headers: Record<string, string | string[]>;
+	readonly body: RequestBody;
+	readonly response: ServerResponse;
+
+	/** Cancels the call. */
+	readonly cancellation: Cancellation;
+
+	/** Time in milliseconds until the deadline of the call. */
+	readonly timeLeft: number;
+	readonly isForwardable: (status: number, headers: ResponseHeaders) => boolean;
+	readonly buildExtraHeaders: () => Record<string, string>;
+
+	/** Called before the first byte of the response is written to the caller. */
+	readonly onForward: () => void;
+};
+
+/** Sends a call to a sidecar. While the sidecar is silent, the attempt is probed; only evidence that no response can come ends it before the deadline. */
+export class Attempt implements SilentAttempt {
+	/** Resolves when the attempt ended. */
+	readonly ended: Promise<AttemptResult>;
+
+	/** Resolves when a probe got no response, so that the call may be sent to another node as well. */
+	readonly suspected: Promise<void>;
+
+	/** Whether the call counts this attempt as one that may have run. */
+	isCounted = false;
+	readonly #dependencies: CallerListenerDependencies;
+	readonly #options: AttemptOptions;
+	readonly #cancellation = new Cancellation();
+	readonly #startedAt: number;
+	#resolveSuspected: (() => void) | undefined;
+	#hasForwarded = false;
+	#isNotReceived = false;
+	#isSuperseded = false;
+	#endedAt: number | undefined;
+	#failedProbes = 0;
+	#isSuspect = false;
+
+	/** Outcomes of the probes, for the log; equal ones in a row are counted. */
+	readonly #probes: Array<{readonly text: string; count: number}> = [];
+
+	constructor(dependencies: CallerListenerDependencies, options: AttemptOptions) {
+		this.#dependencies = dependencies;
+		this.#options = options;
+		this.#startedAt = dependencies.clock.now();
+		this.suspected = new Promise(resolve => {
+			this.#resolveSuspected = resolve;
+		});
+		this.ended = this.#run();
+	}
+
+	get id(): string {
+		return this.#options.id;
+	}
+
+	get member(): Member {
+		return this.#options.member;
+	}
+
+	get origin(): string {
+		return `http://${this.member.host}:${this.member.meshPort}`;
+	}
+
+	/** Cancels the attempt, as another one of the call responded. */
+	cancel(): void {
+		this.#isSuperseded = true;
+		this.#cancellation.cancel(new Error('another attempt got the response'));
+	}
+
+	handleProbe(outcome: ProbeOutcome): void {
+		this.#recordProbe(outcome);
+		const {clock} = this.#dependencies;
+		const age = clock.now() - this.#startedAt;
+		if (outcome.kind === 'reported') {
+			this.#failedProbes = 0;
+			this.#endedAt = outcome.state === attemptStates.ended ? this.#endedAt ?? clock.now() : undefined;
+		}
+
+		const verdict = chooseVerdict(outcome, {
+			age,
+			timeLeft: this.#options.timeLeft - age,
+			endedFor: this.#endedAt === undefined ? undefined : clock.now() - this.#endedAt,
+		});
+		switch (verdict) {
+			case attemptVerdicts.wait: {
+				return;
+			}
+
+			case attemptVerdicts.suspect: {
+				this.#handleSuspicion(outcome);
+				return;
+			}
+
+			case attemptVerdicts.notReceived: {
+				this.#isNotReceived = true;
+				this.#end('the sidecar has not received the call');
+				return;
+			}
+
+			case attemptVerdicts.lost: {
+				this.#end(`the sidecar sends no response to the call any more: ${describeOutcome(outcome)}`);
+			}
+		}
+	}
+
+	/** Describes the attempt and its end in one line, for the log. */
+	describe(result: AttemptResult): string {
+		const detail = 'error' in result ? describeError(result.error) : String('headers' in result ? result.headers[meshHeaders.reason] ?? result.status : result.reason);
+		const probes = this.#probes.map(({text, count}) => count === 1 ? text : `${text} (${count} times)`).join(', ');
+		const duration = Math.round(this.#dependencies.clock.now() - this.#startedAt);
+		return `${this.member.id} r${this.member.incarnation} ${result.kind} after ${duration} ms: ${detail}${probes === '' ? '' : `; probes: ${probes}`}`;
+	}
+
+	async #run(): Promise<AttemptResult> {
+		const {chooser, pools} = this.#dependencies;
+		const {member, method, path, headers, body, response, cancellation, timeLeft, isForwardable, buildExtraHeaders} = this.#options;
+		chooser.recordStart(member);
+		cancellation.addListener(this.#handleCallCancel);
+		const result = await forwardRequest({
+			dispatcher: pools.getPool(this.origin),
+			origin: this.origin,
+			method,
+			path,
+			headers,
+			body,
+			response,
+			cancellation: this.#cancellation,
+			silence: {timeout: Math.max(minSilenceMs, Math.min(maxSilenceMs, timeLeft * silenceShare)), onChange: this.#handleSilence},
+			isForwardable,
+			buildExtraHeaders,
+			onForward: this.#handleForward,
+			removeMeshHeaders: false,
+		});
+		cancellation.removeListener(this.#handleCallCancel);
+		this.#recordEnd(result);
+		return this.#isNotReceived && result.kind === 'unanswered' ? {kind: 'not-received', error: result.error} : result;
+	}
+
+	readonly #handleCallCancel = (reason: Error) => {
+		this.#cancellation.cancel(reason);
+	};
+
+	readonly #handleSilence = (isSilent: boolean) => {
+		const {attemptProber} = this.#dependencies;
+		if (isSilent) {
+			attemptProber.add(this);
+		} else {
+			attemptProber.remove(this);
+		}
+	};
+
+	readonly #handleForward = () => {
+		this.#hasForwarded = true;
+		this.#options.onForward();
+	};
+
+	#handleSuspicion(outcome: ProbeOutcome): void {
+		const {chooser, pools} = this.#dependencies;
+		this.#failedProbes++;
+		pools.closeIfUnresponsive(this.origin, this.#startedAt);
+		if ((outcome.kind === 'unreachable' || this.#failedProbes >= maxFailedProbes) && chooser.findExclusion(this.member) === undefined) {
+			chooser.recordUnreachable(this.member);
+		}
+
+		if (!this.#hasForwarded) {
+			this.#isSuspect = true;
+			this.#resolveSuspected?.();
+		}
+	}
+
+	/** Ends the attempt on evidence: its connection no longer works. */
+	#end(reason: string): void {
+		this.#dependencies.pools.closeIfUnresponsive(this.origin, this.#startedAt);
+		this.#cancellation.cancel(new Error(reason));
+	}
+
+	#recordProbe(outcome: ProbeOutcome): void {
+		const text = describeOutcome(outcome);
+		const last = this.#probes.at(-1);
+		if (last?.text === text) {
+			last.count++;
+		} else {
+			this.#probes.push({text, count: 1});
+		}
+	}
+
+	#recordEnd(result: ForwardResult): void {
+		const {chooser, pools, clock, onVersion} = this.#dependencies;
+		const age = clock.now() - this.#startedAt;
+		const isCallCancelled = this.#options.cancellation.isCancelled;
+		const isLost = result.kind === 'unsent' || result.kind === 'unanswered' || result.kind === 'cut';
+		const isInconclusive = isCallCancelled || this.#isSuperseded;
+		const load = 'headers' in result ? Number(result.headers[meshHeaders.load]) : undefined;
+		chooser.recordEnd(this.member, isLost && !this.#isNotReceived && (this.#isSuspect || !isInconclusive), load);
+		if (result.kind === 'unsent' && (!isInconclusive || age > unreachableAfterMs)) {
+			chooser.recordUnreachable(this.member);
+		}
+
+		if ('headers' in result) {
+			pools.recordResponse(this.origin);
+			onVersion?.(Number(result.headers[meshHeaders.version] ?? 0), this.origin);
+		}
+
+		if (result.kind === 'unanswered' && isCallCancelled && age >= this.#options.timeLeft) {
+			pools.closeIfUnresponsive(this.origin, this.#startedAt);
+		}
+	}
+}
+
+function describeOutcome(outcome: ProbeOutcome): string {
+	return outcome.kind === 'reported' ? outcome.state : `${outcome.kind} (${outcome.reason})`;
+}
--- a/packages/callers/src/call.ts
+++ b/packages/callers/src/call.ts
@@ -1,18 +1,18 @@
 /** Runs one call on its entry node, from its arrival to its end, with all its attempts. */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {describeError} from '@ebonylead/base/errors.js';
-import {type Member} from '@ebonylead/peers/generated/peers.js';
 import {type Route} from '@ebonylead/rules/route-table.js';
 import {type ActiveSnapshot} from '@ebonylead/rules/active-version.js';
 import {Cancellation} from '@ebonylead/upstreams/cancellation.js';
-import {
-	copyRequestHeaders, forwardRequest, ProgressTimeoutError, type ResponseHeaders, type ForwardResult,
-} from '@ebonylead/upstreams/forward.js';
+import {copyRequestHeaders, type ResponseHeaders} from '@ebonylead/upstreams/forward.js';
 import {readBody, type RequestBody} from '@ebonylead/upstreams/request-body.js';
 import {readPositiveInteger} from '@ebonylead/upstreams/request-headers.js';
 import {meshHeaders, outcomes, type Refusal} from '@ebonylead/upstreams/upstreams.js';
 import {chooseService} from './service-split.js';
 import {readRefusal} from './refusal-reader.js';
+import {Attempt, type AttemptResult} from './attempt.js';
+import {AttemptCounts, type AttemptEffect} from './attempt-counts.js';
+import {AttemptsInFlight} from './attempts-in-flight.js';
 import {setAttemptHeaders} from './attempt-headers.js';
 import {callResults, type CallResult} from './call-metrics.js';
 import {type CallerListenerDependencies} from './callers.js';
@@ -30,14 +30,6 @@
 /** Number of crashed upstreams after which a call that was in flight there is not retried. */
 const maxCrashes = 2;
 
-/** Bounds of the progress timeout, the longest time without a byte from the sidecar. The sidecar sends an interim response every 100 ms until the final one starts. */
-const maxProgressTimeoutMs = 800;
-const minProgressTimeoutMs = 300;
-/** Progress timeout as a share of the call's deadline, before the bounds apply. */
-const progressTimeoutShare = 0.5;
-
-/** Time in milliseconds without a connection after which a node counts as unreachable, even if the call was cancelled in the meantime. */
-const unreachableAfterMs = 150;
 const defaultRetryAfterMs = 200;
 
 const statusBadRequest = 400;
@@ -48,9 +40,11 @@
 const statusTimeout = 504;
 const retryableStatuses: ReadonlySet<number> = new Set([500, 502, 503, 504]);
 
-/** What follows an attempt: the call is done, may be retried, or ends with a refusal. */
+/** What follows an attempt: the call is done, may be retried, or ends with a refusal. A refusal waits for the other attempts in flight. */
 type NextStep = 'done' | 'retry' | Refusal;
 
+const noEffect: AttemptEffect = {mayHaveRun: false, hasReachedUpstream: false};
+
 /** Runs one call with the version that was active when it arrived, whatever is applied later. */
 export class Call {
 	readonly #dependencies: CallerListenerDependencies;
@@ -62,6 +56,8 @@
 
 	/** Identifiers of the members that this call was sent to. */
 	readonly #attemptedIds = new Set<string>();
+	readonly #inFlight = new AttemptsInFlight();
+	readonly #counts = new AttemptCounts();
 	#headers: Record<string, string | string[]> = {};
 
 	/** Time budget of the call in milliseconds, counted from its arrival. */
@@ -71,19 +67,12 @@
 	#age = 0;
 	#service = '';
 	#result: CallResult = callResults.notRun;
-	#mayHaveRun = false;
-
-	/** Number of upstreams that may have run this call. */
-	#possibleRuns = 0;
 
 	/** One line for each attempt, for the log. */
 	readonly #attemptSummaries: string[] = [];
 	#status = 0;
 	#reason = '';
 
-	/** Number of upstreams that received this call, including those that refused it. */
-	#reachedUpstreamCount = 0;
-
 	/** Number of upstreams that crashed while this call was in flight there. */
 	#crashes = 0;
 	#lastRefusal: Refusal = {status: statusUnavailable, outcome: outcomes.notRun, reason: 'no try was made'};
@@ -172,19 +161,19 @@
 		this.#headers[meshHeaders.caller] = this.#dependencies.protocol.readCaller(this.#request);
 		this.#dependencies.retryBudget.recordCall(this.#service);
 		const inheritedAttempt = readPositiveInteger(this.#request, meshHeaders.attempt) ?? 1;
-		for (let attemptCount = 1; ; attemptCount++) {
-			const step = await this.#runAttempt(route, body, inheritedAttempt + attemptCount - 1);
-			if (step === 'done') {
-				return;
-			}
-
+		let attemptCount = 1;
+		let step = this.#startAttempt(route, body, inheritedAttempt) ?? await this.#waitForStep(route);
+		while (step !== 'done') {
 			if (step === 'retry' && body !== this.#request && this.#canRetry(route, attemptCount, inheritedAttempt)) {
 				this.#dependencies.metrics.recordRetry(this.#service);
-				continue;
+				attemptCount++;
+				step = this.#startAttempt(route, body, inheritedAttempt + attemptCount - 1) ?? await this.#waitForStep(route);
+			} else if (this.#inFlight.isEmpty) {
+				this.#refuse(step === 'retry' ? this.#lastRefusal : step);
+				return;
+			} else {
+				step = await this.#waitForStep(route);
 			}
-
-			this.#refuse(step === 'retry' ? this.#lastRefusal : step);
-			return;
 		}
 	}
 
@@ -199,46 +188,63 @@
 			return false;
 		}
 
-		if (this.#possibleRuns > 0 && !(route.rule.idempotent && this.#possibleRuns < (route.rule.maxTries ?? defaultMaxRuns))) {
+		if (this.#counts.possibleRuns > 0 && !(route.rule.idempotent && this.#counts.possibleRuns < (route.rule.maxTries ?? defaultMaxRuns))) {
 			return false;
 		}
 
-		return this.#reachedUpstreamCount === 0 || (inheritedAttempt === 1 && this.#dependencies.retryBudget.admitRetry(this.#service));
+		return this.#counts.reachedUpstreams === 0 || (inheritedAttempt === 1 && this.#dependencies.retryBudget.admitRetry(this.#service));
 	}
 
 	get #timeLeft(): number {
 		return this.#deadline - (this.#dependencies.clock.now() - this.#startedAt);
 	}
 
-	async #runAttempt(route: Route, body: RequestBody, attempt: number): Promise<NextStep> {
-		const {chooser, pools} = this.#dependencies;
+	/** Starts an attempt; returns a refusal if there is no upstream for it. */
+	#startAttempt(route: Route, body: RequestBody, attemptNumber: number): Refusal | undefined {
+		const {chooser, requestIds} = this.#dependencies;
 		const member = chooser.choose(this.#service, route, this.#attemptedIds);
 		if (member === undefined) {
 			return chooser.findCapacityRefusal(this.#service, route) ?? (this.#attemptedIds.size > 0 ? this.#lastRefusal : this.#buildNoUpstreamRefusal());
 		}
 
 		this.#attemptedIds.add(member.id);
-		chooser.recordStart(member);
-		const startedAt = this.#dependencies.clock.now();
-		const origin = `http://${member.host}:${member.meshPort}`;
-		const result = await forwardRequest({
-			dispatcher: pools.getPool(origin),
-			origin,
+		const id = requestIds.create();
+		const attempt = new Attempt(this.#dependencies, {
+			id,
+			member,
 			method: this.#request.method ?? 'GET',
 			path: this.#request.url ?? '/',
-			headers: this.#buildHeaders(route, attempt),
+			headers: this.#buildHeaders(route, id, attemptNumber),
 			body,
 			response: this.#response,
 			cancellation: this.#cancellation,
-			progressTimeout: Math.max(minProgressTimeoutMs, Math.min(maxProgressTimeoutMs, this.#deadline * progressTimeoutShare)),
+			timeLeft: this.#timeLeft,
 			isForwardable: (status, headers) => this.#isForwardable(route, status, headers),
 			buildExtraHeaders: () => ({[meshHeaders.version]: String(this.#version)}),
-			removeMeshHeaders: false,
+			onForward: () => {
+				this.#inFlight.cancelOthers(attempt);
+			},
 		});
-		this.#recordAttemptEnd(member, origin, startedAt, result);
-		const detail = 'error' in result ? describeError(result.error) : String('headers' in result ? result.headers[meshHeaders.reason] ?? result.status : result.reason);
-		this.#attemptSummaries.push(`${member.id} r${member.incarnation} ${result.kind} after ${Math.round(this.#dependencies.clock.now() - startedAt)} ms: ${detail}`);
-		return this.#handleResult(route, member, result);
+		this.#inFlight.add(attempt);
+		return undefined;
+	}
+
+	/** Waits for the next event of an attempt in flight, and returns what follows from it. */
+	async #waitForStep(route: Route): Promise<NextStep> {
+		const {attempt, result} = await this.#inFlight.waitForEvent();
+		if (result === undefined) {
+			return this.#handleSuspicion(route, attempt);
+		}
+
+		this.#attemptSummaries.push(attempt.describe(result));
+		return this.#handleResult(route, attempt, result);
+	}
+
+	/** Sends an idempotent call to another node as well; the attempt in flight may still be answered. */
+	#handleSuspicion(route: Route, attempt: Attempt): NextStep {
+		this.#counts.recordSuspicion(attempt.id);
+		this.#lastRefusal = {status: statusBadGateway, outcome: outcomes.unknown, reason: `"${attempt.member.id}" does not respond`};
+		return route.rule.idempotent ? 'retry' : this.#lastRefusal;
 	}
 
 	#buildNoUpstreamRefusal(): Refusal {
@@ -253,11 +259,12 @@
 			return false;
 		}
 
-		const isRetryPossible = this.#possibleRuns + 1 < (route.rule.maxTries ?? defaultMaxRuns) && this.#timeLeft > minAttemptTimeMs;
+		const isRetryPossible = this.#counts.possibleRuns + 1 < (route.rule.maxTries ?? defaultMaxRuns) && this.#timeLeft > minAttemptTimeMs;
 		return !(route.rule.idempotent && retryableStatuses.has(status) && isRetryPossible);
 	}
 
-	#handleResult(route: Route, member: Member, result: ForwardResult): NextStep {
+	#handleResult(route: Route, attempt: Attempt, result: AttemptResult): NextStep {
+		const {member} = attempt;
 		switch (result.kind) {
 			case 'answered': {
 				this.#result = callResults.answered;
@@ -271,38 +278,25 @@
 			}
 
 			case 'not-run': {
-				this.#lastRefusal = {
-					status: statusUnavailable, outcome: outcomes.notRun, reason: result.reason, hasReachedUpstream: true,
-				};
-				this.#updateAttemptCounts(false);
-				return 'retry';
+				return this.#handleNotRun(attempt, {mayHaveRun: false, hasReachedUpstream: true}, result.reason);
+			}
+
+			case 'not-received': {
+				// The upstream did not see the call, so it is a candidate for the next attempt too.
+				this.#attemptedIds.delete(member.id);
+				return this.#handleNotRun(attempt, noEffect, `"${member.id}" did not receive the call`, defaultRetryAfterMs);
 			}
 
 			case 'unsent': {
-				this.#lastRefusal = {
-					status: statusUnavailable, outcome: outcomes.notRun, reason: `"${member.id}" can not be reached: ${describeError(result.error)}`, retryAfter: defaultRetryAfterMs,
-				};
-				return 'retry';
+				return this.#handleNotRun(attempt, noEffect, `"${member.id}" can not be reached: ${describeError(result.error)}`, defaultRetryAfterMs);
 			}
 
 			case 'rejected': {
-				this.#lastRefusal = readRefusal(result.status, result.headers);
-				this.#updateAttemptCounts(this.#lastRefusal.outcome === outcomes.unknown);
-				// An upstream without capacity for a repeated call may have some for a new one.
-				if (this.#lastRefusal.isUpstreamFull && this.#age === 0) {
-					this.#dependencies.chooser.recordCapacityRefusal(member, route, this.#lastRefusal);
-				}
-
-				this.#crashes = Math.max(this.#crashes, Number(result.headers[meshHeaders.suspect] ?? 0));
-				if (this.#crashes >= maxCrashes) {
-					return this.#lastRefusal;
-				}
-
-				return this.#lastRefusal.outcome === outcomes.notRun || route.rule.idempotent ? 'retry' : this.#lastRefusal;
+				return this.#handleRejection(route, attempt, result);
 			}
 
 			case 'unanswered': {
-				this.#updateAttemptCounts(true);
+				this.#counts.recordEnd(attempt.id, {mayHaveRun: true, hasReachedUpstream: true});
 				const status = this.#cancellation.isCancelled ? statusTimeout : statusBadGateway;
 				this.#lastRefusal = {status, outcome: outcomes.unknown, reason: `"${member.id}" did not answer: ${describeError(result.error)}`};
 				return route.rule.idempotent ? 'retry' : this.#lastRefusal;
@@ -310,40 +304,40 @@
 		}
 	}
 
-	/** Updates the counts of this call after an attempt that reached a node; `mayHaveRun` says whether an upstream may have run the call. */
-	#updateAttemptCounts(mayHaveRun: boolean): void {
-		this.#possibleRuns += mayHaveRun ? 1 : 0;
-		this.#reachedUpstreamCount += mayHaveRun || this.#lastRefusal.hasReachedUpstream ? 1 : 0;
-		this.#mayHaveRun ||= mayHaveRun;
+	#handleNotRun(attempt: Attempt, effect: AttemptEffect, reason: string, retryAfter?: number): NextStep {
+		const {hasReachedUpstream} = effect;
+		this.#counts.recordEnd(attempt.id, effect);
+		this.#lastRefusal = {
+			status: statusUnavailable, outcome: outcomes.notRun, reason, retryAfter, hasReachedUpstream,
+		};
+		return 'retry';
 	}
 
-	#recordAttemptEnd(member: Member, origin: string, startedAt: number, result: ForwardResult): void {
-		const {chooser, pools} = this.#dependencies;
-		const isFailure = result.kind === 'unsent' || result.kind === 'unanswered' || result.kind === 'cut';
-		const load = 'headers' in result ? Number(result.headers[meshHeaders.load]) : undefined;
-		chooser.recordEnd(member, isFailure && !this.#cancellation.isCancelled, load);
-		const isUnreachable = !this.#cancellation.isCancelled || this.#dependencies.clock.now() - startedAt > unreachableAfterMs;
-		if (result.kind === 'unsent' && isUnreachable) {
-			chooser.recordUnreachable(member);
+	#handleRejection(route: Route, attempt: Attempt, {status, headers}: AttemptResult & {readonly kind: 'rejected'}): NextStep {
+		this.#lastRefusal = readRefusal(status, headers);
+		const mayHaveRun = this.#lastRefusal.outcome === outcomes.unknown;
+		this.#counts.recordEnd(attempt.id, {mayHaveRun, hasReachedUpstream: this.#lastRefusal.hasReachedUpstream ?? false});
+		// An upstream without capacity for a repeated call may have some for a new one.
+		if (this.#lastRefusal.isUpstreamFull && this.#age === 0) {
+			this.#dependencies.chooser.recordCapacityRefusal(attempt.member, route, this.#lastRefusal);
 		}
 
-		if ('headers' in result) {
-			pools.recordResponse(origin);
-			this.#dependencies.onVersion?.(Number(result.headers[meshHeaders.version] ?? 0), origin);
+		this.#crashes = Math.max(this.#crashes, Number(headers[meshHeaders.suspect] ?? 0));
+		if (this.#crashes >= maxCrashes) {
+			return this.#lastRefusal;
 		}
 
-		const isTimeout = result.kind === 'unanswered' && (result.error instanceof ProgressTimeoutError || this.#cancellation.isCancelled);
-		if (isTimeout && this.#result !== callResults.callerLeft) {
-			pools.closeIfUnresponsive(origin, startedAt);
-		}
+		return !mayHaveRun || route.rule.idempotent ? 'retry' : this.#lastRefusal;
 	}
 
-	#buildHeaders(route: Route, attempt: number): Record<string, string | string[]> {
+	#buildHeaders(route: Route, id: string, attemptNumber: number): Record<string, string | string[]> {
 		const {rule} = route;
 		const elapsedMs = this.#age + this.#dependencies.clock.now() - this.#startedAt;
-		setAttemptHeaders(this.#headers, {
+		const headers = {...this.#headers};
+		setAttemptHeaders(headers, {
 			route,
-			attempt,
+			id,
+			attempt: attemptNumber,
 			service: this.#service,
 			crashes: this.#crashes,
 			timeLeft: this.#timeLeft,
@@ -351,7 +345,7 @@
 			origin: this.#dependencies.origin,
 			version: this.#dependencies.activeVersion.version,
 		});
-		return this.#headers;
+		return headers;
 	}
 
 	async #readBody(): Promise<RequestBody> {
@@ -376,16 +370,18 @@
 	}
 
 	/**
-	 * Responds in place of an upstream. The outcome is `not-run` only if no attempt may have run. The retry delay is chosen at random from one to two times
+	 * Responds in place of an upstream. The outcome is `not-run` only if no attempt may have run, and so is the status 503. The retry delay is chosen at random from one to two times
 	 * its base, so that callers that were refused together don't retry at the same time.
 	 */
 	#refuse(refusal: Refusal): void {
-		const outcome = this.#mayHaveRun ? outcomes.unknown : refusal.outcome;
+		const outcome = this.#counts.mayHaveRun ? outcomes.unknown : refusal.outcome;
 		this.#result = outcome === outcomes.notRun ? callResults.notRun : callResults.unknown;
 		const retryAfter = refusal.retryAfter && refusal.retryAfter * (1 + this.#dependencies.random.next());
-		this.#status = refusal.status;
+		this.#status = outcome === outcomes.unknown && refusal.status === statusUnavailable ? statusBadGateway : refusal.status;
 		this.#reason = refusal.reason;
-		this.#dependencies.protocol.sendRefusal(this.#response, {...refusal, outcome, retryAfter});
+		this.#dependencies.protocol.sendRefusal(this.#response, {
+			...refusal, status: this.#status, outcome, retryAfter,
+		});
 		this.#request.resume();
 	}
 
--- a/packages/callers/src/callers.ts
+++ b/packages/callers/src/callers.ts
@@ -13,6 +13,7 @@
 import {type ActiveVersion} from '@ebonylead/rules/active-version.js';
 import {listenOn} from '@ebonylead/base/listening.js';
 import {outcomes, type Refusal} from '@ebonylead/upstreams/upstreams.js';
+import {type AttemptProber} from './attempt-prober.js';
 import {type CallAges} from './call-ages.js';
 import {type BurnCounters} from './burn-counters.js';
 import {type CallerProtocol} from './caller-protocol.js';
@@ -28,6 +29,7 @@
 	readonly activeVersion: ActiveVersion;
 	readonly chooser: TargetChooser;
 	readonly pools: MeshPools;
+	readonly attemptProber: AttemptProber;
 	readonly protocol: CallerProtocol;
 	readonly callAges: CallAges;
 	readonly retryBudget: RetryBudget;
--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -4,6 +4,8 @@
 import {DecisionLog} from '@ebonylead/base/decision-log.js';
 import {createPartLogger, type Logger} from '@ebonylead/base/logs.js';
 import {SystemRandom} from '@ebonylead/base/random.js';
+import {AttemptProber} from '@ebonylead/callers/attempt-prober.js';
+import {HttpAttemptProbe} from '@ebonylead/callers/http-attempt-probe.js';
 import {CallAges} from '@ebonylead/callers/call-ages.js';
 import {BurnCounters} from '@ebonylead/callers/burn-counters.js';
 import {CallMetrics} from '@ebonylead/callers/call-metrics.js';
@@ -156,6 +158,7 @@
 			activeVersion: this.#activeVersion,
 			chooser: new TargetChooser(this.#membership, settings.dataCentre, clock, random),
 			pools: this.#pools,
+			attemptProber: new AttemptProber(new HttpAttemptProbe(), clock),
 			protocol: callerProtocol,
 			callAges: new CallAges(),
 			retryBudget: new RetryBudget(settings.retryRatio, () => settings.retrySlack / Math.max(1, this.#membership.aliveCount)),
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -5,6 +5,8 @@
 import {DecisionLog} from '@ebonylead/base/decision-log.js';
 import {createLogger, createPartLogger, type Logger} from '@ebonylead/base/logs.js';
 import {SystemRandom} from '@ebonylead/base/random.js';
+import {AttemptProber} from '@ebonylead/callers/attempt-prober.js';
+import {HttpAttemptProbe} from '@ebonylead/callers/http-attempt-probe.js';
 import {CallAges} from '@ebonylead/callers/call-ages.js';
 import {BurnCounters} from '@ebonylead/callers/burn-counters.js';
 import {CallMetrics} from '@ebonylead/callers/call-metrics.js';
@@ -149,6 +151,7 @@
 			activeVersion,
 			chooser,
 			pools: this.#pools,
+			attemptProber: new AttemptProber(new HttpAttemptProbe(), clock),
 			protocol: new DefaultCallerProtocol(),
 			callAges: new CallAges(),
 			retryBudget: new RetryBudget(),
--- a/packages/stand-ins/src/mesh-harness.ts
+++ b/packages/stand-ins/src/mesh-harness.ts
@@ -7,6 +7,8 @@
 import {DecisionLog} from '@ebonylead/base/decision-log.js';
 import {createLogger} from '@ebonylead/base/logs.js';
 import {SeededRandom} from '@ebonylead/base/random.js';
+import {AttemptProber} from '@ebonylead/callers/attempt-prober.js';
+import {HttpAttemptProbe} from '@ebonylead/callers/http-attempt-probe.js';
 import {CallAges} from '@ebonylead/callers/call-ages.js';
 import {BurnCounters} from '@ebonylead/callers/burn-counters.js';
 import {CallMetrics} from '@ebonylead/callers/call-metrics.js';
@@ -36,7 +38,8 @@
 export type HarnessVm = {
 	readonly id: string;
 	readonly localUpstream: LocalUpstream;
-	readonly meshListener: MeshListener;
+	/** Listener of the running sidecar; `restartSidecar` replaces it. */
+	meshListener: MeshListener;
 	readonly quarantine: Quarantine;
 	readonly upstreamServer: Server;
 
@@ -78,6 +81,7 @@
 			activeVersion: this.activeVersion,
 			chooser: new TargetChooser(this.membership, 'a', this.#clock, random),
 			pools: this.#pools,
+			attemptProber: new AttemptProber(new HttpAttemptProbe(), this.#clock),
 			protocol: new DefaultCallerProtocol(),
 			callAges: new CallAges(),
 			retryBudget: new RetryBudget(),
@@ -120,12 +124,7 @@
 		});
 		const localUpstream = new LocalUpstream(this.#clock, log);
 		const quarantine = new Quarantine(this.#clock);
-		const crashDetector = new CrashDetector(localUpstream, quarantine, log, suspects => {
-			this.#shareSuspects(suspects);
-		});
-		const meshListener = new MeshListener({
-			localUpstream, quarantine, crashDetector, protocol: new DefaultUpstreamProtocol(), clock: this.#clock, log, decisionLog: new DecisionLog(log, this.#clock),
-		});
+		const meshListener = this.#createMeshListener(localUpstream, quarantine);
 		const vm: HarnessVm = {
 			id: `p${this.vms.length}`, localUpstream, meshListener, quarantine, upstreamServer, requestCount: 0,
 		};
@@ -139,6 +138,15 @@
 		return vm;
 	}
 
+	/** Ends the sidecar of a VM as a kill does, and starts another one on the same port. */
+	async restartSidecar(vm: HarnessVm): Promise<void> {
+		const {port} = vm.meshListener;
+		vm.meshListener.close();
+		vm.meshListener.closeAllConnections();
+		vm.meshListener = this.#createMeshListener(vm.localUpstream, vm.quarantine);
+		await vm.meshListener.listen(host, port);
+	}
+
 	/** Starts the graceful stop of the entry node: it refuses new calls, and calls in flight continue. */
 	drainEntryNode(): void {
 		this.#entryNode.disableKeepAlive();
@@ -180,6 +188,15 @@
 		}));
 	}
 
+	#createMeshListener(localUpstream: LocalUpstream, quarantine: Quarantine): MeshListener {
+		const crashDetector = new CrashDetector(localUpstream, quarantine, log, suspects => {
+			this.#shareSuspects(suspects);
+		});
+		return new MeshListener({
+			localUpstream, quarantine, crashDetector, protocol: new DefaultUpstreamProtocol(), clock: this.#clock, log, decisionLog: new DecisionLog(log, this.#clock),
+		});
+	}
+
 	#shareSuspects(suspects: readonly Suspect[]): void {
 		if (this.isSharingSuspects) {
 			for (const vm of this.vms) {
--- a/packages/upstreams/src/forward.ts
+++ b/packages/upstreams/src/forward.ts
@@ -4,6 +4,7 @@
 import {PassThrough} from 'node:stream';
 import {type Dispatcher} from 'undici';
 import {type Cancellation} from './cancellation.js';
+import {SilenceTimer, type SilenceOptions} from './silence-timer.js';
 import {type ResponseValidation} from './upstream-protocol.js';
 
 /** How an attempt to forward a request ended. */
@@ -41,8 +42,11 @@
 	/** Aborts the request when the deadline of the call passes or its caller disconnects. */
 	readonly cancellation: Cancellation;
 
-	/** Maximum time in milliseconds in which no byte of the response arrives. */
-	readonly progressTimeout: number;
+	/** Watches for silence of the server; it does not end the request. Undefined if nothing depends on it. */
+	readonly silence?: SilenceOptions;
+
+	/** Called before the first byte of the response is written to the client. */
+	readonly onForward?: () => void;
 
 	/** Classifies a response by its status and headers before it is handled any further. */
 	readonly validateResponse?: (status: number, headers: ResponseHeaders) => ResponseValidation;
@@ -103,6 +107,7 @@
 class ForwardExchange implements Dispatcher.DispatchHandler {
 	readonly #options: ForwardOptions;
 	readonly #onEnd: (result: ForwardResult) => void;
+	readonly #silenceTimer: SilenceTimer | undefined;
 	#controller: Dispatcher.DispatchController | undefined;
 	#abortReason: Error | undefined;
 	#bodyCopy: PassThrough | undefined;
@@ -114,11 +119,11 @@
 	#validation: ResponseValidation = {kind: 'final'};
 	#status = 0;
 	#headers: ResponseHeaders = {};
-	#timer: NodeJS.Timeout | undefined;
 
 	constructor(options: ForwardOptions, onEnd: (result: ForwardResult) => void) {
 		this.#options = options;
 		this.#onEnd = onEnd;
+		this.#silenceTimer = options.silence && new SilenceTimer(options.silence);
 	}
 
 	start(): void {
@@ -147,11 +152,11 @@
 		}
 
 		this.#isSent = true;
-		this.#startTimerAfterBody();
+		this.#startSilenceTimerAfterBody();
 	}
 
 	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: ResponseHeaders): void {
-		this.#restartTimer();
+		this.#restartSilenceTimer();
 		if (status < firstFinalStatus) {
 			return;
 		}
@@ -178,7 +183,7 @@
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
 		if (this.#bufferedChunks) {
-			this.#restartTimer();
+			this.#restartSilenceTimer();
 			this.#bufferChunk(controller, this.#bufferedChunks, chunk);
 			return;
 		}
@@ -188,15 +193,15 @@
 		}
 
 		if (this.#options.response.write(chunk)) {
-			this.#restartTimer();
+			this.#restartSilenceTimer();
 			return;
 		}
 
-		// A slow client must not count as an unresponsive server, so the timer is stopped until the write buffer has drained.
-		clearTimeout(this.#timer);
+		// A slow client must not count as a silent server, so the timer is stopped until the write buffer has drained.
+		this.#silenceTimer?.stop();
 		controller.pause();
 		this.#options.response.once('drain', () => {
-			this.#restartTimer();
+			this.#restartSilenceTimer();
 			controller.resume();
 		});
 	}
@@ -275,23 +280,34 @@
 
 	/** Starts to forward a response of which a part is still to arrive. */
 	#startResponse(controller: Dispatcher.DispatchController): boolean {
+		if (this.#abortReason) {
+			return false;
+		}
+
 		if (this.#isCloseDelimited(this.#status, this.#headers)) {
 			controller.abort(new Error('the answer has neither a length nor chunks, and is too large to be held until its end'));
 			return false;
 		}
 
 		this.#isResponseStarted = true;
+		this.#options.onForward?.();
 		this.#options.response.writeHead(this.#status, this.#buildResponseHeaders(this.#headers));
 		return true;
 	}
 
 	#sendBuffered(bufferedChunks: readonly Buffer[]): void {
+		if (this.#abortReason) {
+			this.#end({kind: 'unanswered', error: this.#abortReason});
+			return;
+		}
+
 		const {response, method} = this.#options;
 		const headers = this.#buildResponseHeaders(this.#headers);
 		if (method !== 'HEAD' && !bodilessStatuses.has(this.#status)) {
 			headers['content-length'] = String(this.#bufferedBytes);
 		}
 
+		this.#options.onForward?.();
 		response.writeHead(this.#status, headers);
 		response.end(Buffer.concat(bufferedChunks));
 		this.#end({kind: 'answered', status: this.#status, headers: this.#headers});
@@ -307,27 +323,22 @@
 		}
 	}
 
-	/** Starts the timer at the end of the body, as a client that sends slowly must not count as an unresponsive server. */
-	#startTimerAfterBody(): void {
+	/** Starts the timer at the end of the body, as a client that sends slowly must not make the server count as silent. */
+	#startSilenceTimerAfterBody(): void {
 		const {body} = this.#options;
 		if (body === undefined || Buffer.isBuffer(body) || body.readableEnded) {
-			this.#restartTimer();
+			this.#restartSilenceTimer();
 		} else {
 			body.once('end', () => {
-				this.#restartTimer();
+				this.#restartSilenceTimer();
 			});
 		}
 	}
 
-	#restartTimer(): void {
-		if (this.#isFinished) {
-			return;
+	#restartSilenceTimer(): void {
+		if (!this.#isFinished) {
+			this.#silenceTimer?.restart();
 		}
-
-		clearTimeout(this.#timer);
-		this.#timer = setTimeout(() => {
-			this.#abort(new ProgressTimeoutError(this.#options.origin, this.#options.progressTimeout));
-		}, this.#options.progressTimeout);
 	}
 
 	#buildResponseHeaders(headers: ResponseHeaders): Record<string, string | string[]> {
@@ -355,18 +366,9 @@
 		}
 
 		this.#isFinished = true;
-		clearTimeout(this.#timer);
+		this.#silenceTimer?.stop();
 		this.#options.cancellation.removeListener(this.#handleCancel);
 		this.#releaseBody();
 		this.#onEnd(result);
 	}
 }
-
-/** No byte of a response arrived within the progress timeout; the connection may be unresponsive. */
-export class ProgressTimeoutError extends Error {
-	override readonly name = 'ProgressTimeoutError';
-
-	constructor(origin: string, timeout: number) {
-		super(`${origin} sent nothing for ${timeout} ms`);
-	}
-}
--- a/packages/upstreams/src/mesh-call.ts
+++ b/packages/upstreams/src/mesh-call.ts
@@ -200,7 +200,6 @@
 			body: this.#body,
 			response: this.#response,
 			cancellation: this.#cancellation,
-			progressTimeout: this.#deadline,
 			validateResponse: (status, responseHeaders) => protocol.validateResponse(status, responseHeaders, headers),
 			isForwardable: () => true,
 			buildExtraHeaders: () => ({[meshHeaders.load]: localUpstream.admission.load.toFixed(2)}),
