--- a/packages/callers/src/test/call_test.ts
+++ b/packages/callers/src/test/call_test.ts
@@ -96,7 +96,7 @@
 	describe('refusals', () => {
 		it('have the outcome not-run if the upstream is gone, and the call did not run', async t => {
 			await withHarness(async harness => {
-				const vm = await harness.addVm(buildResponder('x'));
+				const vm = await harness.addVm(buildResponder('x'), {upstreamHost: '127.0.0.40'});
 				vm.upstreamServer.close();
 				vm.upstreamServer.closeAllConnections();
 				const received = await call(harness, 'POST', '/x', {body: 'declaration'});
@@ -138,6 +138,25 @@
 			});
 		});
 
+		it('never have the status 503, which promises that the call did not run, after an attempt that may have run', async t => {
+			await withHarness(async harness => {
+				const crashing = await harness.addVm(incoming => {
+					incoming.socket.destroy();
+				});
+				const closed = await harness.addVm(buildResponder('x'));
+				closed.localUpstream.admission.close();
+				const statuses = new Set<number>();
+				for (let round = 0; round < 20; round++) {
+					const before = crashing.requestCount;
+					const received = await call(harness, 'GET', '/x');
+					statuses.add(received.status);
+					t.is(received.status, crashing.requestCount > before ? 502 : 503);
+				}
+
+				t.true(statuses.has(502));
+			});
+		});
+
 		it('are sent at once if no slot becomes free before the deadline', async t => {
 			await withHarness(async harness => {
 				const vm = await harness.addVm((_request, response) => {
--- a/packages/stand-ins/src/mesh-harness.ts
+++ b/packages/stand-ins/src/mesh-harness.ts
@@ -51,6 +51,9 @@
 export type VmOptions = {
 	readonly slots?: number;
 	readonly service?: string;
+
+	/** Address of the upstream. With an address of its own, no server of another test can take its port when it has closed. */
+	readonly upstreamHost?: string;
 };
 
 const host = '127.0.0.1';
@@ -114,13 +117,13 @@
 	}
 
 	/** Adds a VM, whose upstream is ready, to the members. */
-	async addVm(handler: UpstreamHandler, {slots = defaultSlots, service = 's'}: VmOptions = {}): Promise<HarnessVm> {
+	async addVm(handler: UpstreamHandler, {slots = defaultSlots, service = 's', upstreamHost = host}: VmOptions = {}): Promise<HarnessVm> {
 		const upstreamServer = createServer((request, response) => {
 			vm.requestCount++;
 			handler(request, response);
 		});
 		await new Promise<void>(resolve => {
-			upstreamServer.listen(0, host, resolve);
+			upstreamServer.listen(0, upstreamHost, resolve);
 		});
 		const localUpstream = new LocalUpstream(this.#clock, log);
 		const quarantine = new Quarantine(this.#clock);
@@ -129,7 +132,7 @@
 			id: `p${this.vms.length}`, localUpstream, meshListener, quarantine, upstreamServer, requestCount: 0,
 		};
 		await meshListener.listen(host, 0);
-		const url = `http://${host}:${(upstreamServer.address() as AddressInfo).port}`;
+		const url = `http://${upstreamHost}:${(upstreamServer.address() as AddressInfo).port}`;
 		localUpstream.applyAnnouncement({
 			service, url, slots, connections: 20, state: 'ready',
 		});
