--- a/packages/stand-ins/src/mesh-harness.ts
+++ b/packages/stand-ins/src/mesh-harness.ts
@@ -7,6 +7,8 @@
 import {DecisionLog} from '@ebonylead/base/decision-log.js';
 import {createLogger} from '@ebonylead/base/logs.js';
 import {SeededRandom} from '@ebonylead/base/random.js';
+import {AttemptProber} from '@ebonylead/callers/attempt-prober.js';
+import {HttpAttemptProbe} from '@ebonylead/callers/http-attempt-probe.js';
 import {CallAges} from '@ebonylead/callers/call-ages.js';
 import {BurnCounters} from '@ebonylead/callers/burn-counters.js';
 import {CallMetrics} from '@ebonylead/callers/call-metrics.js';
@@ -27,6 +29,7 @@
 import {DefaultUpstreamProtocol} from '@ebonylead/upstreams/upstream-protocol.js';
 import {LocalUpstream} from '@ebonylead/upstreams/local-upstream.js';
 import {Registry} from 'prom-client';
+import {DelayRelay} from './delay-relay.js';
 
 /** Handles a request at an upstream. */
 export type UpstreamHandler = (request: IncomingMessage, response: ServerResponse) => void;
@@ -35,7 +38,8 @@
 export type HarnessVm = {
 	readonly id: string;
 	readonly localUpstream: LocalUpstream;
-	readonly meshListener: MeshListener;
+	/** Listener of the running sidecar; `restartSidecar` replaces it. */
+	meshListener: MeshListener;
 	readonly quarantine: Quarantine;
 	readonly upstreamServer: Server;
 
@@ -47,6 +51,9 @@
 export type VmOptions = {
 	readonly slots?: number;
 	readonly service?: string;
+
+	/** Address of the upstream. With an address of its own, no server of another test can take its port when it has closed. */
+	readonly upstreamHost?: string;
 };
 
 const host = '127.0.0.1';
@@ -68,6 +75,7 @@
 	readonly #clock = new SystemClock();
 	readonly #pools = new MeshPools(this.#clock);
 	readonly #entryNode: CallerListener;
+	readonly #relays: DelayRelay[] = [];
 	#version = 0;
 
 	constructor(seed = 1) {
@@ -76,6 +84,7 @@
 			activeVersion: this.activeVersion,
 			chooser: new TargetChooser(this.membership, 'a', this.#clock, random),
 			pools: this.#pools,
+			attemptProber: new AttemptProber(new HttpAttemptProbe(), this.#clock),
 			protocol: new DefaultCallerProtocol(),
 			callAges: new CallAges(),
 			retryBudget: new RetryBudget(undefined, undefined, this.#clock, random),
@@ -108,27 +117,22 @@
 	}
 
 	/** Adds a VM, whose upstream is ready, to the members. */
-	async addVm(handler: UpstreamHandler, {slots = defaultSlots, service = 's'}: VmOptions = {}): Promise<HarnessVm> {
+	async addVm(handler: UpstreamHandler, {slots = defaultSlots, service = 's', upstreamHost = host}: VmOptions = {}): Promise<HarnessVm> {
 		const upstreamServer = createServer((request, response) => {
 			vm.requestCount++;
 			handler(request, response);
 		});
 		await new Promise<void>(resolve => {
-			upstreamServer.listen(0, host, resolve);
+			upstreamServer.listen(0, upstreamHost, resolve);
 		});
 		const localUpstream = new LocalUpstream(this.#clock, log);
 		const quarantine = new Quarantine(this.#clock);
-		const crashDetector = new CrashDetector(localUpstream, quarantine, log, suspects => {
-			this.#shareSuspects(suspects);
-		});
-		const meshListener = new MeshListener({
-			localUpstream, quarantine, crashDetector, protocol: new DefaultUpstreamProtocol(), clock: this.#clock, log, decisionLog: new DecisionLog(log, this.#clock),
-		});
+		const meshListener = this.#createMeshListener(localUpstream, quarantine);
 		const vm: HarnessVm = {
 			id: `p${this.vms.length}`, localUpstream, meshListener, quarantine, upstreamServer, requestCount: 0,
 		};
 		await meshListener.listen(host, 0);
-		const url = `http://${host}:${(upstreamServer.address() as AddressInfo).port}`;
+		const url = `http://${upstreamHost}:${(upstreamServer.address() as AddressInfo).port}`;
 		localUpstream.applyAnnouncement({
 			service, url, slots, connections: 20, state: 'ready',
 		});
@@ -137,6 +141,33 @@
 		return vm;
 	}
 
+	/** Ends the sidecar of a VM as a kill does, and starts another one on the same port. */
+	async restartSidecar(vm: HarnessVm): Promise<void> {
+		const {port} = vm.meshListener;
+		vm.meshListener.close();
+		vm.meshListener.closeAllConnections();
+		vm.meshListener = this.#createMeshListener(vm.localUpstream, vm.quarantine);
+		await vm.meshListener.listen(host, port);
+	}
+
+	/** Starts the graceful stop of the entry node: it refuses new calls, and calls in flight continue. */
+	drainEntryNode(): void {
+		this.#entryNode.disableKeepAlive();
+		this.#entryNode.refuseNewCalls();
+	}
+
+	/** Starts a relay before the sidecar of a VM; from then on the entry node reaches the sidecar through it. */
+	async addRelay(vm: HarnessVm, relayHost: string): Promise<DelayRelay> {
+		const relay = new DelayRelay({
+			listenHost: relayHost, targetHost: host, ports: [vm.meshListener.port], delay: 0,
+		});
+		await relay.start();
+		this.#relays.push(relay);
+		const member = this.membership.findMember(vm.id)!;
+		this.membership.merge([{...member, host: relayHost, incarnation: member.incarnation + 1}], 0);
+		return relay;
+	}
+
 	/** Cancels the calls in flight at the entry node. */
 	cancelCalls(): void {
 		this.#entryNode.cancelCalls('this node stops');
@@ -147,6 +178,10 @@
 		this.#entryNode.close();
 		this.#entryNode.closeAllConnections();
 		await this.#pools.close();
+		for (const relay of this.#relays) {
+			relay.stop();
+		}
+
 		await Promise.all(this.vms.map(async vm => {
 			vm.meshListener.close();
 			vm.meshListener.closeAllConnections();
@@ -156,6 +191,15 @@
 		}));
 	}
 
+	#createMeshListener(localUpstream: LocalUpstream, quarantine: Quarantine): MeshListener {
+		const crashDetector = new CrashDetector(localUpstream, quarantine, log, suspects => {
+			this.#shareSuspects(suspects);
+		});
+		return new MeshListener({
+			localUpstream, quarantine, crashDetector, protocol: new DefaultUpstreamProtocol(), clock: this.#clock, log, decisionLog: new DecisionLog(log, this.#clock),
+		});
+	}
+
 	#shareSuspects(suspects: readonly Suspect[]): void {
 		if (this.isSharingSuspects) {
 			for (const vm of this.vms) {
