--- /dev/null
+++ b/packages/node/src/feed-follower.ts
@@ -0,0 +1,131 @@
+/** Follows the feed of one other node. */
+import {type Clock} from '@ebonylead/base/base.js';
+import {describeError} from '@ebonylead/base/errors.js';
+import {type AcceptedRules} from '@ebonylead/rules/rule-source.js';
+import {type FeedTransport} from './feed-transport.js';
+import {type FeedLine} from './rules-feed.js';
+import {type RulesHistory} from './rules-history.js';
+
+/** Dependencies of `FeedFollower`. */
+export type FeedFollowerDependencies = {
+	readonly transport: FeedTransport;
+	readonly history: RulesHistory;
+	readonly clock: Clock;
+
+	/** Called with each version that the other node sent. */
+	readonly onRules: (rules: AcceptedRules) => void;
+
+	/** Called after each line. */
+	readonly onLine: () => void;
+
+	/** Called when the feed has ended, with the reason. */
+	readonly onEnd: (origin: string, reason: string) => void;
+};
+
+/** Follows one feed at a time, so that transfers never overlap. */
+export class FeedFollower {
+	readonly #dependencies: FeedFollowerDependencies;
+	#controller: AbortController | undefined;
+	#origin: string | undefined;
+	#startedAt = Number.NEGATIVE_INFINITY;
+	#lastBytesAt = Number.NEGATIVE_INFINITY;
+	#freshUntil = Number.NEGATIVE_INFINITY;
+	#hasLine = false;
+
+	/** Whether the next feed must send all rules, as an update could not be applied. */
+	#needsWhole = false;
+
+	constructor(dependencies: FeedFollowerDependencies) {
+		this.#dependencies = dependencies;
+	}
+
+	/** Origin of the node that is followed; undefined if none is. */
+	get origin(): string | undefined {
+		return this.#origin;
+	}
+
+	/** Monotonic time at which the current feed was started. */
+	get startedAt(): number {
+		return this.#startedAt;
+	}
+
+	/** Monotonic time at which the current feed was started, or its last bytes were received. */
+	get lastSignAt(): number {
+		return Math.max(this.#startedAt, this.#lastBytesAt);
+	}
+
+	/** Whether the current feed has delivered a line. */
+	get hasLine(): boolean {
+		return this.#hasLine;
+	}
+
+	/** Monotonic time until which the last word from the store that a feed delivered counts as fresh. */
+	get freshUntil(): number {
+		return this.#freshUntil;
+	}
+
+	/** Ends the current feed, if any, and follows the feed of another node. */
+	start(origin: string): void {
+		this.stop();
+		const controller = new AbortController();
+		this.#controller = controller;
+		this.#origin = origin;
+		this.#startedAt = this.#dependencies.clock.now();
+		this.#hasLine = false;
+		void this.#follow(origin, controller.signal);
+	}
+
+	/** Ends the current feed, if any. */
+	stop(): void {
+		this.#controller?.abort();
+		this.#controller = undefined;
+		this.#origin = undefined;
+	}
+
+	async #follow(origin: string, signal: AbortSignal): Promise<void> {
+		const {transport, history, onEnd} = this.#dependencies;
+		let reason = 'the feed ended';
+		try {
+			const versions = this.#needsWhole ? [] : history.listVersions();
+			await this.#readLines(await transport.open(origin, versions, signal), signal);
+		} catch (error) {
+			reason = describeError(error);
+		}
+
+		if (!signal.aborted) {
+			this.stop();
+			onEnd(origin, reason);
+		}
+	}
+
+	async #readLines(chunks: AsyncIterable<Uint8Array>, signal: AbortSignal): Promise<void> {
+		const decoder = new TextDecoder();
+		let parts: string[] = [];
+		for await (const chunk of chunks) {
+			if (signal.aborted) {
+				return;
+			}
+
+			this.#lastBytesAt = this.#dependencies.clock.now();
+			const [end, ...starts] = decoder.decode(chunk, {stream: true}).split('\n');
+			parts.push(end!);
+			for (const start of starts) {
+				this.#handleLine(JSON.parse(parts.join('')) as FeedLine);
+				parts = [start];
+			}
+		}
+	}
+
+	#handleLine({version, freshFor, update}: FeedLine): void {
+		const {history, onRules, onLine} = this.#dependencies;
+		if (update !== undefined && version > history.version) {
+			this.#needsWhole = true;
+			onRules(history.decodeUpdate(update));
+			this.#needsWhole = false;
+		}
+
+		this.#hasLine = true;
+		this.#freshUntil = Math.max(this.#freshUntil, this.#lastBytesAt + freshFor);
+		onLine();
+	}
+}
--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -26,7 +26,12 @@
 import {type UpstreamProtocol} from '@ebonylead/upstreams/upstream-protocol.js';
 import {type Registry} from 'prom-client';
 import {MemberDirectory} from './member-directory.js';
-import {PeerStateFetcher, type PeerState} from './peer-state.js';
+import {HttpFeedTransport} from './feed-transport.js';
+import {PeerStateFetcher, encodeState, type PeerState} from './peer-state.js';
+import {ReaderRanking} from './reader-ranking.js';
+import {RulesFeed} from './rules-feed.js';
+import {RulesHistory} from './rules-history.js';
+import {RulesSync} from './rules-sync.js';
 import {AnnouncementHandler} from './announcement-handler.js';
 
 /** Settings of a mesh node. */
@@ -79,6 +84,9 @@
 const responseFlushMs = 150;
 const drainPollIntervalMs = 20;
 
+/** Number of nodes in each data centre that read the rules from the store for the others; two, so that one may fail. */
+const readerCount = 2;
+
 /** Exclusive upper bound of the random `instance` of a member: an unsigned 32-bit number, as in the messages between peers. */
 const instanceLimit = 0x1_00_00_00_00;
 
@@ -99,9 +107,9 @@
 	readonly #meshListener: MeshListener;
 	readonly #callerListener: CallerListener;
 	readonly #stateFetcher: PeerStateFetcher;
-
-	/** Active rules, as peers can fetch them. */
-	#rules: AcceptedRules | undefined;
+	readonly #history = new RulesHistory();
+	readonly #rulesSync: RulesSync;
+	readonly #rulesFeed: RulesFeed;
 
 	/** Whether a peer has sent members; then the node can serve before it has read the store. */
 	#hasPeerMembers = false;
@@ -134,11 +142,16 @@
 			decisionLog: new DecisionLog(this.#createLog('mesh'), clock),
 			refusalMetrics: new RefusalMetrics(registry),
 			getState: query => this.#getState(query),
+			openFeed: (output, versions) => {
+				this.#rulesFeed.add(output, versions);
+			},
 			getVersion: () => this.#activeVersion.version,
 			onVersion: (version, origin) => {
 				this.#stateFetcher.recordVersion(version, origin);
 			},
 		});
+		this.#rulesSync = this.#createRulesSync();
+		this.#rulesFeed = new RulesFeed({history: this.#history, clock, getFreshUntil: () => this.#rulesSync.freshUntil});
 		this.#stateFetcher = new PeerStateFetcher({
 			self: this.#directory.self,
 			seedHosts: settings.seedHosts,
@@ -146,8 +159,9 @@
 			clock,
 			random,
 			log: this.#createLog('peers'),
-			isStoreUnavailable: () => dependencies.ruleSource.isUnavailable || this.#directory.isUnavailable,
+			isStoreUnavailable: () => this.#rulesSync.isStoreUnavailable || this.#directory.isUnavailable,
 			getVersion: () => this.#activeVersion.version,
+			listVersions: () => this.#history.listVersions(),
 			onState: state => {
 				this.#mergeState(state);
 			},
@@ -181,13 +195,12 @@
 
 	/** Opens the listeners and starts the background tasks. */
 	async start(): Promise<void> {
-		const {settings, ruleSource} = this.#dependencies;
+		const {settings} = this.#dependencies;
 		const {signal} = this.#controller;
 		await this.#meshListener.listen(settings.host, settings.meshPort);
 		await this.#callerListener.listen(settings.host, settings.callerPort);
-		this.#runTask('rules', ruleSource.run(signal, rules => {
-			this.#applyRules(rules);
-		}));
+		this.#runTask('rules', this.#rulesSync.run(signal));
+		this.#runTask('rules feed', this.#rulesFeed.run(signal));
 		this.#runTask('members', this.#directory.run(signal));
 		this.#runTask('peers', this.#stateFetcher.run(signal));
 		this.#runTask('upstream', this.#localUpstream.run(signal));
@@ -242,18 +255,36 @@
 		return this.#callerListener.inFlightCount + this.#meshListener.inFlightCount;
 	}
 
-	#getState({version, includeMembers}: StateQuery): PeerState {
-		return {
-			rules: version < this.#activeVersion.version ? this.#rules : undefined,
-			members: includeMembers ? this.#membership.listAll().filter(member => member.state === MemberState.ALIVE) : [],
-		};
+	#createRulesSync(): RulesSync {
+		const {settings, ruleSource} = this.#dependencies;
+		const clock = this.#clock;
+		const random = this.#random;
+		return new RulesSync({
+			source: ruleSource,
+			transport: new HttpFeedTransport(),
+			history: this.#history,
+			ranking: new ReaderRanking({
+				id: settings.id, dataCentre: settings.dataCentre, membership: this.#membership, clock, random, readerCount,
+			}),
+			clock,
+			random,
+			log: this.#createLog('rules'),
+			onRules: rules => {
+				this.#applyRules(rules);
+			},
+		});
+	}
+
+	#getState({versions, includeMembers}: StateQuery): string {
+		const members = includeMembers ? this.#membership.listAll().filter(member => member.state === MemberState.ALIVE) : [];
+		return encodeState(this.#history.encodeUpdate(versions), members);
 	}
 
-	#mergeState({rules, members}: PeerState): void {
+	#mergeState({update, members}: PeerState): void {
 		this.#membership.merge(members.filter(member => member.id !== this.#dependencies.settings.id), this.#clock.now());
 		this.#hasPeerMembers ||= members.length > 0;
-		if (rules) {
-			this.#applyRules(rules);
+		if (update && update.version > this.#history.version) {
+			this.#applyRules(this.#history.decodeUpdate(update));
 		}
 	}
 
@@ -264,7 +295,8 @@
 			return;
 		}
 
-		this.#rules = rules;
+		this.#history.add(rules);
+		this.#rulesFeed.sendToAll();
 		if (limits) {
 			this.#callerListener.setLimits(limits);
 		}
--- a/packages/node/src/peer-state.ts
+++ b/packages/node/src/peer-state.ts
@@ -1,20 +1,27 @@
 /** Fetches the active rules and the members from other nodes while the store is unavailable or behind. */
-import {chooseInteger, type Clock, type Random} from '@ebonylead/base/base.js';
+import {
+	chooseInteger, computeBackoff, type Clock, type Random,
+} from '@ebonylead/base/base.js';
 import {StepError, describeError} from '@ebonylead/base/errors.js';
 import {type Logger} from '@ebonylead/base/logs.js';
 import {MemberState, type Member} from '@ebonylead/peers/generated/peers.js';
 import {type Membership} from '@ebonylead/peers/membership.js';
-import {type AcceptedRules} from '@ebonylead/rules/rule-source.js';
 import {statePath} from '@ebonylead/upstreams/mesh-listener.js';
 import {Agent} from 'undici';
+import {type RulesUpdate} from './rules-history.js';
 
 /** Response of a node to a request for its state. */
 export type PeerState = {
-	/** Active rules; undefined if the requesting node has the same version or a later one. */
-	readonly rules: AcceptedRules | undefined;
+	/** Update to the active version; undefined if the requesting node has the same version or a later one. */
+	readonly update: RulesUpdate | undefined;
 	readonly members: readonly Member[];
 };
 
+/** Encodes the response to a request for the state of a node, from an update that is encoded already. */
+export function encodeState(update: string | undefined, members: readonly Member[]): string {
+	return `{${update === undefined ? '' : `"update":${update},`}"members":${JSON.stringify(members)}}`;
+}
+
 /** Dependencies of `PeerStateFetcher`. */
 export type PeerStateFetcherDependencies = {
 	readonly self: Member;
@@ -32,29 +39,45 @@
 	/** Returns the active version of this node. */
 	readonly getVersion: () => number;
 
-	/** Called with the state that a peer sent. */
+	/** Returns the versions that this node keeps, from which an update can start. */
+	readonly listVersions: () => readonly number[];
+
+	/** Called with the state that a peer sent; an error means that it could not be applied. */
 	readonly onState: (state: PeerState) => void;
 };
 
 /** Interval between two fetches while the store is unavailable. A change must become active within 2 s, which leaves time for several fetches. */
 const fetchIntervalMs = 400;
 
-/** Interval between two fetches while a reported version is missing. It is short, as the peer that was tried may have failed. */
-const retryIntervalMs = 50;
-const fetchTimeoutMs = 600;
+/** Bounds of the backoff after a failed fetch while a reported version is missing. The first one is short, as only the peer that was tried may have failed. */
+const retryBackoffBaseMs = 100;
+const maxRetryBackoffMs = 2000;
+
+/** Longest time without a byte of a response. */
+const silenceTimeoutMs = 600;
+
+/** Longest time of a whole response; an update in full is about 40 kB. */
+const fetchTimeoutMs = 3000;
 
-/** Time that the store has to deliver a reported version before it is fetched from a peer, whose response contains all rules. A quarter of the 2 s within which a version must become active. */
-const storeGraceMs = 500;
+/** Time that the reader or the store has to deliver a reported version before it is fetched from a peer. A tenth of the 2 s within which a version must become active. */
+const deliveryGraceMs = 200;
 const maxConnections = 2;
 const statusOk = 200;
 
 /** Fetches state from peers while the store is unavailable, or when a call reported a later version than the active one. */
 export class PeerStateFetcher {
 	readonly #dependencies: PeerStateFetcherDependencies;
-	readonly #agent = new Agent({connections: maxConnections, connect: {timeout: fetchTimeoutMs}});
+	readonly #agent = new Agent({
+		connections: maxConnections, connect: {timeout: silenceTimeoutMs}, headersTimeout: silenceTimeoutMs, bodyTimeout: silenceTimeoutMs,
+	});
+
 	#reportedVersion = 0;
 	#reportedOrigin = '';
 	#wake: (() => void) | undefined;
+	#failures = 0;
+
+	/** Whether the next update must be in full, as one could not be applied. */
+	#needsWhole = false;
 
 	constructor(dependencies: PeerStateFetcherDependencies) {
 		this.#dependencies = dependencies;
@@ -73,19 +96,23 @@
 	async run(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
 			if (this.#isBehind && !this.#dependencies.isStoreUnavailable()) {
-				await this.#dependencies.clock.sleep(storeGraceMs, signal);
+				await this.#dependencies.clock.sleep(deliveryGraceMs, signal);
 			}
 
 			if (this.#isBehind || this.#dependencies.isStoreUnavailable()) {
 				await this.#fetchState(this.#isBehind ? this.#reportedOrigin : this.#choosePeer(), signal);
 			}
 
-			await this.#sleep(this.#isBehind ? retryIntervalMs : fetchIntervalMs, signal);
+			await this.#sleep(this.#isBehind ? this.#computeRetryDelay() : fetchIntervalMs, signal);
 		}
 
 		await this.#agent.destroy();
 	}
 
+	#computeRetryDelay(): number {
+		return this.#failures === 0 ? 0 : computeBackoff(this.#dependencies.random, this.#failures, retryBackoffBaseMs, maxRetryBackoffMs);
+	}
+
 	get #isBehind(): boolean {
 		return this.#reportedVersion > this.#dependencies.getVersion();
 	}
@@ -95,9 +122,11 @@
 			return;
 		}
 
-		const {log, getVersion, onState, isStoreUnavailable} = this.#dependencies;
+		const {
+			log, getVersion, listVersions, onState, isStoreUnavailable,
+		} = this.#dependencies;
 		// While the store is available, it delivers the members.
-		const query = `version=${getVersion()}${isStoreUnavailable() ? '&members' : ''}`;
+		const query = `versions=${this.#needsWhole ? '' : listVersions().join(',')}${isStoreUnavailable() ? '&members' : ''}`;
 		const before = getVersion();
 		try {
 			const response = await this.#agent.request({
@@ -107,11 +136,16 @@
 				throw new StepError('fetch state', origin, `status ${response.statusCode}`);
 			}
 
-			onState(await response.body.json() as PeerState);
+			const state = await response.body.json() as PeerState;
+			this.#needsWhole = true;
+			onState(state);
+			this.#needsWhole = false;
+			this.#failures = 0;
 			if (getVersion() > before) {
 				log.info({origin, before, version: getVersion()}, 'Fetched a later version from a peer');
 			}
 		} catch (error) {
+			this.#failures++;
 			log.warn({origin, reason: describeError(error)}, 'Fetching the state of a peer failed');
 			this.#reportedOrigin = this.#choosePeer() ?? this.#reportedOrigin;
 		}
--- /dev/null
+++ b/packages/node/src/rules-feed.ts
@@ -0,0 +1,105 @@
+/** Sends the versions of this node to the nodes that follow it, each over one open response. */
+import {type Writable} from 'node:stream';
+import {type Clock} from '@ebonylead/base/base.js';
+import {type RulesHistory, type RulesUpdate} from './rules-history.js';
+
+/** A line of a feed: the version of the sending node, with an update to it where the receiver has an earlier one. */
+export type FeedLine = {
+	readonly version: number;
+
+	/** Time in milliseconds for which the sending node's last word from the store still counts as fresh; 0 if it does not. */
+	readonly freshFor: number;
+	readonly update?: RulesUpdate;
+};
+
+/** Dependencies of `RulesFeed`. */
+export type RulesFeedDependencies = {
+	readonly history: RulesHistory;
+	readonly clock: Clock;
+
+	/** Returns the monotonic time until which the last word from the store counts as fresh. */
+	readonly getFreshUntil: () => number;
+};
+
+/** Interval between two lines; a follower takes another node after about two missing ones. */
+const lineIntervalMs = 300;
+
+/** A node that follows this one. */
+type FeedReceiver = {
+	readonly output: Writable;
+
+	/** Versions that the node keeps, as far as known: those that it named, then the last one sent. */
+	versions: readonly number[];
+
+	/** Whether the last line still waits to be sent; the versions of meanwhile are merged into the next line. */
+	isBlocked: boolean;
+};
+
+/** Feeds of this node. */
+export class RulesFeed {
+	readonly #dependencies: RulesFeedDependencies;
+	readonly #receivers = new Set<FeedReceiver>();
+
+	constructor(dependencies: RulesFeedDependencies) {
+		this.#dependencies = dependencies;
+	}
+
+	/** Number of nodes that follow this one. */
+	get receiverCount(): number {
+		return this.#receivers.size;
+	}
+
+	/** Adds a node that keeps some versions, and sends to its output until that closes. */
+	add(output: Writable, versions: readonly number[]): void {
+		const receiver = {output, versions, isBlocked: false};
+		this.#receivers.add(receiver);
+		output.on('drain', () => {
+			receiver.isBlocked = false;
+			if (!receiver.versions.includes(this.#dependencies.history.version)) {
+				this.#send(receiver);
+			}
+		});
+		output.on('close', () => {
+			this.#receivers.delete(receiver);
+		});
+		output.on('error', () => {
+			this.#receivers.delete(receiver);
+		});
+		this.#send(receiver);
+	}
+
+	/** Sends a line to all receivers, as there is a new version. */
+	sendToAll(): void {
+		for (const receiver of this.#receivers) {
+			this.#send(receiver);
+		}
+	}
+
+	/** Sends lines until the signal is aborted. */
+	async run(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			await this.#dependencies.clock.sleep(lineIntervalMs, signal);
+			this.sendToAll();
+		}
+
+		for (const {output} of this.#receivers) {
+			output.destroy();
+		}
+	}
+
+	#send(receiver: FeedReceiver): void {
+		if (receiver.isBlocked) {
+			return;
+		}
+
+		const {history, clock, getFreshUntil} = this.#dependencies;
+		const freshFor = Math.max(0, Math.round(getFreshUntil() - clock.now()));
+		const update = history.encodeUpdate(receiver.versions);
+		const end = update === undefined ? '}' : `,"update":${update}}`;
+		if (update !== undefined) {
+			receiver.versions = [history.version];
+		}
+
+		receiver.isBlocked = !receiver.output.write(`{"version":${history.version},"freshFor":${freshFor}${end}\n`);
+	}
+}
--- /dev/null
+++ b/packages/node/src/rules-sync.ts
@@ -0,0 +1,207 @@
+/** Decides from where this node gets its rules: from the store, or from another node that follows it. */
+import {computeBackoff, type Clock, type Random} from '@ebonylead/base/base.js';
+import {type Logger} from '@ebonylead/base/logs.js';
+import {type AcceptedRules, type RuleSource} from '@ebonylead/rules/rule-source.js';
+import {FeedFollower} from './feed-follower.js';
+import {type FeedTransport} from './feed-transport.js';
+import {type ReaderRanking} from './reader-ranking.js';
+import {type RulesHistory} from './rules-history.js';
+import {StoreReading} from './store-reading.js';
+
+/** Dependencies of `RulesSync`. */
+export type RulesSyncDependencies = {
+	readonly source: RuleSource;
+	readonly transport: FeedTransport;
+	readonly history: RulesHistory;
+	readonly ranking: ReaderRanking;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly log: Logger;
+
+	/** Called with each version from the store or from another node. */
+	readonly onRules: (rules: AcceptedRules) => void;
+};
+
+/** Interval between two decisions that depend only on time; lines and ends of feeds cause one at once. */
+const decisionIntervalMs = 100;
+
+/** Time in which a node must send the first line of its feed; a connection and a response within a region take a few milliseconds. */
+const firstLineTimeoutMs = 300;
+
+/** Time after the last bytes of a feed from which on its node counts as failed; two missing lines. */
+const silenceTimeoutMs = 700;
+
+/** Time for which a node is followed without a fresh word from the store, as it may just have become a reader and still read its first response. */
+const catchUpTimeoutMs = 400;
+
+/** Time after which a node that is fresh is left for one that ranks before it. */
+const moveIntervalMs = 5000;
+
+/** Number of consecutive failures from which on nodes are given that time, and are tried at growing intervals. The readers before them are tried at once. */
+const minSlowFailures = 2;
+const attemptBackoffBaseMs = 100;
+const maxAttemptBackoffMs = 2000;
+
+/** Bounds of the time between the loss of a fresh word from the store and the reading of the store itself. Other readers take over meanwhile; random, so that not all followers of a failed reader read at the same moment. */
+const minFallbackDelayMs = 300;
+const maxFallbackDelayMs = 550;
+
+/** Reads the store, or follows a reader, and changes between both as needed. */
+export class RulesSync {
+	readonly #dependencies: RulesSyncDependencies;
+	readonly #reading: StoreReading;
+	readonly #follower: FeedFollower;
+
+	/** Monotonic time from which on this node reads the store unless a reader is fresh; undefined while one is. */
+	#fallbackAt: number | undefined;
+	#wasReader = false;
+
+	/** Number of consecutive feeds that did not help, and the monotonic time of the next attempt. */
+	#failures = 0;
+	#nextAttemptAt = 0;
+
+	constructor(dependencies: RulesSyncDependencies) {
+		const {source, transport, history, clock, onRules} = dependencies;
+		this.#dependencies = dependencies;
+		this.#reading = new StoreReading(source, onRules);
+		this.#follower = new FeedFollower({
+			transport,
+			history,
+			clock,
+			onRules,
+			onLine: () => {
+				this.#update();
+			},
+			onEnd: (origin, reason) => {
+				this.#handleFailure(origin, reason);
+				this.#update();
+			},
+		});
+	}
+
+	/** Whether this node reads the store, and the last read failed. */
+	get isStoreUnavailable(): boolean {
+		return this.#reading.isActive && this.#dependencies.source.isUnavailable;
+	}
+
+	/** Monotonic time until which this node's last word from the store counts as fresh, whether it came directly or by another node. */
+	get freshUntil(): number {
+		return Math.max(this.#dependencies.source.freshUntil, this.#follower.freshUntil);
+	}
+
+	/** Keeps the rules current until the signal is aborted. */
+	async run(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			this.#update();
+			await this.#dependencies.clock.sleep(decisionIntervalMs, signal);
+		}
+
+		this.#follower.stop();
+		await this.#reading.stop();
+		await this.#dependencies.transport.close();
+	}
+
+	get #isReaderFresh(): boolean {
+		return this.#dependencies.clock.now() < this.#follower.freshUntil;
+	}
+
+	get #isStoreFresh(): boolean {
+		const {source, clock} = this.#dependencies;
+		return !source.isUnavailable && clock.now() < source.freshUntil;
+	}
+
+	#update(): void {
+		const {ranking, log} = this.#dependencies;
+		const {isReader} = ranking;
+		if (isReader !== this.#wasReader) {
+			this.#wasReader = isReader;
+			log.info({isReader}, isReader ? 'Became a reader of the store' : 'No longer a reader of the store');
+		}
+
+		this.#stopFailedFeed();
+		this.#chooseFeed(isReader);
+		this.#chooseReading(isReader);
+	}
+
+	#stopFailedFeed(): void {
+		const {clock, ranking} = this.#dependencies;
+		const {
+			origin, hasLine, startedAt, lastSignAt,
+		} = this.#follower;
+		if (origin === undefined) {
+			return;
+		}
+
+		if (clock.now() - lastSignAt > (hasLine ? silenceTimeoutMs : firstLineTimeoutMs)) {
+			this.#handleFailure(origin, hasLine ? 'silent' : 'no answer');
+		} else if (hasLine && this.#isReaderFresh) {
+			this.#failures = 0;
+			ranking.release(origin);
+		} else if (hasLine && (this.#failures < minSlowFailures || clock.now() - startedAt > catchUpTimeoutMs)) {
+			this.#handleFailure(origin, 'its last word from the store is too old');
+		}
+	}
+
+	#handleFailure(origin: string, reason: string): void {
+		const {
+			ranking, log, clock, random,
+		} = this.#dependencies;
+		this.#follower.stop();
+		ranking.suspend(origin);
+		this.#failures++;
+		const backoff = this.#failures < minSlowFailures ? 0 : computeBackoff(random, this.#failures - minSlowFailures + 1, attemptBackoffBaseMs, maxAttemptBackoffMs);
+		this.#nextAttemptAt = clock.now() + backoff;
+		log.warn({origin, reason}, 'Gave up a reader');
+	}
+
+	/** Follows the preferred reader that is not suspended; a reader follows another one only while the store does not answer it. */
+	#chooseFeed(isReader: boolean): void {
+		const {
+			log, history, source, clock,
+		} = this.#dependencies;
+		if (isReader && this.#isStoreFresh) {
+			this.#follower.stop();
+			return;
+		}
+
+		const isFirstRead = history.version === 0 && !source.isUnavailable;
+		const candidates = this.#listCandidates();
+		const {origin} = this.#follower;
+		const isSettled = this.#isReaderFresh && clock.now() - this.#follower.startedAt < moveIntervalMs;
+		const isFollowing = origin !== undefined && (candidates.includes(origin) || isSettled);
+		if (isFirstRead || isFollowing || candidates.length === 0 || clock.now() < this.#nextAttemptAt) {
+			return;
+		}
+
+		log.info({origin: candidates[0], version: history.version}, 'Following a reader');
+		this.#follower.start(candidates[0]!);
+	}
+
+	/** Lists the readers of the own data centre, and those of the others if the own ones did not help and the store does not answer. */
+	#listCandidates(): string[] {
+		const {ranking} = this.#dependencies;
+		const origins = ranking.listOrigins();
+		const mustGoFurther = this.#reading.isActive && !this.#isStoreFresh && (origins.length === 0 || this.#failures >= minSlowFailures);
+		return mustGoFurther ? [...ranking.listRemoteOrigins(), ...origins] : origins;
+	}
+
+	#chooseReading(isReader: boolean): void {
+		const {clock, random, history, log} = this.#dependencies;
+		if (this.#isReaderFresh && !isReader && history.version > 0) {
+			this.#fallbackAt = undefined;
+			if (this.#reading.isActive) {
+				log.info({origin: this.#follower.origin, version: history.version}, 'Stopped reading the store');
+				void this.#reading.stop();
+			}
+
+			return;
+		}
+
+		this.#fallbackAt ??= clock.now() + minFallbackDelayMs + ((maxFallbackDelayMs - minFallbackDelayMs) * random.next());
+		const mustRead = isReader || history.version === 0 || clock.now() >= this.#fallbackAt;
+		if (mustRead && !this.#reading.isActive) {
+			log.info({isReader, version: history.version}, 'Reading the store');
+			this.#reading.start();
+		}
+	}
+}
--- a/packages/node/src/test/peer-state_test.ts
+++ b/packages/node/src/test/peer-state_test.ts
@@ -7,7 +7,8 @@
 import {Membership} from '@ebonylead/peers/membership.js';
 import {describe, it} from '@ebonylead/stand-ins/describe.js';
 import {waitUntil} from '@ebonylead/stand-ins/wait-until.js';
-import {PeerStateFetcher, type PeerStateFetcherDependencies} from '../peer-state.js';
+import {PeerStateFetcher, encodeState, type PeerStateFetcherDependencies} from '../peer-state.js';
+import {RulesHistory} from '../rules-history.js';
 
 const host = '127.0.0.1';
 const waitTimeoutMs = 5000;
@@ -30,9 +31,12 @@
 async function withFetcher(overrides: Partial<PeerStateFetcherDependencies>, run: (fixture: FetcherFixture) => Promise<void>): Promise<void> {
 	let version = 1;
 	let requestCount = 0;
+	const history = new RulesHistory();
+	const peerHistory = new RulesHistory();
+	peerHistory.add({snapshot: {version: peerVersion, rules: []}, limits: undefined});
 	const peer = createServer((_request, response) => {
 		requestCount++;
-		response.end(JSON.stringify({rules: {snapshot: {version: peerVersion, rules: []}}, members: []}));
+		response.end(encodeState(peerHistory.encodeUpdate([]), []));
 	});
 	await new Promise<void>(resolve => {
 		peer.listen(0, host, resolve);
@@ -50,8 +54,9 @@
 		log: createLogger('silent'),
 		isStoreUnavailable: () => false,
 		getVersion: () => version,
+		listVersions: () => [],
 		onState(state) {
-			version = state.rules?.snapshot.version ?? version;
+			version = state.update === undefined ? version : history.decodeUpdate(state.update).snapshot.version;
 		},
 		...overrides,
 	});
--- a/packages/rules/src/rule-source.ts
+++ b/packages/rules/src/rule-source.ts
@@ -27,6 +27,9 @@
 	/** Whether the source did not respond to the last request. */
 	readonly isUnavailable: boolean;
 
+	/** Monotonic time in milliseconds until which the last response of the source counts as fresh; minus infinity before the first one. */
+	readonly freshUntil: number;
+
 	/**
 	 * Follows the source until the signal is aborted.
 	 *
--- a/packages/store/src/row-store.ts
+++ b/packages/store/src/row-store.ts
@@ -37,10 +37,11 @@
 	/**
 	 * Waits for changes of a table after a revision.
 	 *
+	 * @param maxWait Longest wait in milliseconds; by default the store chooses it.
 	 * @returns The changed rows, in the order of their revisions; none if the wait ended without a change.
 	 * @throws HistoryLostError if the store no longer keeps the changes since that revision.
 	 */
-	waitForChanges(table: string, after: number, signal: AbortSignal): Promise<RowPage>;
+	waitForChanges(table: string, after: number, signal: AbortSignal, maxWait?: number): Promise<RowPage>;
 
 	/**
 	 * Writes or removes a row, on the condition that it still has the expected revision.
--- a/packages/store/src/table-follower.ts
+++ b/packages/store/src/table-follower.ts
@@ -16,6 +16,9 @@
 	/** Returns the minimum interval in milliseconds between two reads of changes; 0 by default. */
 	readonly getMinInterval?: () => number;
 
+	/** Longest wait for changes in milliseconds; by default the store chooses it. With it the store is heard at least that often, also between two reads of changes. */
+	readonly maxWait?: number;
+
 	/** Called with the changed rows, or with all rows of the table if `isComplete` is true. */
 	readonly onRows: (rows: readonly SharedRow[], isComplete: boolean) => void;
 };
@@ -24,6 +27,12 @@
 const backoffBaseMs = 50;
 const maxBackoffMs = 400;
 
+/** Wait for changes at the start of a run where the store must be heard soon. */
+const firstWaitMs = 1;
+
+/** Table without rows, whose reading shows at the least cost that the store answers. */
+const emptyTable = 'empty';
+
 /** Reads a table, then follows its change feed; reads the whole table again when the store no longer keeps the changes since the last read. */
 export class TableFollower {
 	readonly #dependencies: TableFollowerDependencies;
@@ -31,6 +40,9 @@
 	#failures = 0;
 	#lastResponseAt = Number.NEGATIVE_INFINITY;
 
+	/** Whether the next wait for changes is the first one of a run, which must show at once that the store answers. */
+	#isFirstWait = true;
+
 	constructor(dependencies: TableFollowerDependencies) {
 		this.#dependencies = dependencies;
 	}
@@ -45,8 +57,9 @@
 		return this.#failures > 0;
 	}
 
-	/** Follows the table until the signal is aborted. */
+	/** Follows the table until the signal is aborted. A later run goes on from there. */
 	async run(signal: AbortSignal): Promise<void> {
+		this.#isFirstWait = true;
 		while (!signal.aborted) {
 			try {
 				await this.#readOnce(signal);
@@ -60,7 +73,7 @@
 
 	async #readOnce(signal: AbortSignal): Promise<void> {
 		const {
-			store, table, onRows, getMinInterval, clock,
+			store, table, onRows, getMinInterval, maxWait,
 		} = this.#dependencies;
 		if (this.#cursor === undefined) {
 			const page = await store.readTable(table);
@@ -69,15 +82,30 @@
 			return;
 		}
 
-		const page = await store.waitForChanges(table, this.#cursor, signal);
+		const page = await store.waitForChanges(table, this.#cursor, signal, maxWait && this.#isFirstWait ? firstWaitMs : maxWait);
+		this.#isFirstWait = false;
 		this.#recordResponse(page);
 		if (page.rows.length > 0) {
 			onRows(page.rows, false);
 			// Each change completes the pending feed requests of all nodes. Waiting here bounds their rate; the changes made meanwhile arrive together in the next response.
-			await clock.sleep(getMinInterval?.() ?? 0, signal);
+			await this.#pause(getMinInterval?.() ?? 0, signal);
 		}
 	}
 
+	async #pause(duration: number, signal: AbortSignal): Promise<void> {
+		const {store, clock, maxWait} = this.#dependencies;
+		const step = maxWait ?? duration;
+		let rest = duration;
+		while (rest > step && !signal.aborted) {
+			await clock.sleep(step, signal);
+			await store.readTable(emptyTable);
+			this.#lastResponseAt = clock.now();
+			rest -= step;
+		}
+
+		await clock.sleep(rest, signal);
+	}
+
 	#recordResponse(page: RowPage): void {
 		this.#cursor = Math.max(page.revision, this.#cursor ?? 0);
 		this.#lastResponseAt = this.#dependencies.clock.now();
--- a/packages/upstreams/src/mesh-listener.ts
+++ b/packages/upstreams/src/mesh-listener.ts
@@ -30,8 +30,11 @@
 	/** Counts refusals; undefined where no metrics are exported. */
 	readonly refusalMetrics?: RefusalMetrics;
 
-	/** Returns the state of this node that is sent to another node as JSON; undefined where state requests are not served. */
-	readonly getState?: (query: StateQuery) => unknown;
+	/** Returns the state of this node in JSON, as it is sent to another node; undefined where state requests are not served. */
+	readonly getState?: (query: StateQuery) => string;
+
+	/** Sends the versions of this node to the output until it closes; undefined where feeds are not served. */
+	readonly openFeed?: (output: ServerResponse, versions: readonly number[]) => void;
 
 	/** Returns the active version of the rules on this node. */
 	readonly getVersion?: () => number;
@@ -42,14 +45,17 @@
 
 /** Parameters of a state request between nodes. */
 export type StateQuery = {
-	/** Active version at the requesting node; only later rules are returned. */
-	readonly version: number;
+	/** Versions that the requesting node keeps; only a later one is returned. */
+	readonly versions: readonly number[];
 	readonly includeMembers: boolean;
 };
 
 /** Path of state requests between nodes. */
 export const statePath = '/x-ebonylead/state';
 
+/** Path of feeds between nodes. */
+export const feedPath = '/x-ebonylead/feed';
+
 /** Idle connections stay open longer here than at the entry nodes, so that the entry node is the one that closes them. */
 const keepAliveTimeoutMs = 75_000;
 const maxHeaderBytes = 32 * 1024;
@@ -98,10 +104,7 @@
 	}
 
 	async #handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		if (request.url?.startsWith(statePath) && this.#dependencies.getState) {
-			const query = new URL(request.url, 'http://node').searchParams;
-			const body = JSON.stringify(this.#dependencies.getState({version: Number(query.get('version')), includeMembers: query.has('members')}));
-			response.writeHead(200, {'content-type': 'application/json', 'content-length': Buffer.byteLength(body)}).end(body);
+		if (this.#serveState(request, response)) {
 			return;
 		}
 
@@ -114,6 +117,28 @@
 		}
 	}
 
+	/** Answers a request for the state or the feed of this node; returns false for any other request. */
+	#serveState(request: IncomingMessage, response: ServerResponse): boolean {
+		const {getState, openFeed} = this.#dependencies;
+		const isState = request.url?.startsWith(statePath) && getState !== undefined;
+		const isFeed = request.url?.startsWith(feedPath) && openFeed !== undefined;
+		if (!isState && !isFeed) {
+			return false;
+		}
+
+		const query = new URL(request.url!, 'http://node').searchParams;
+		const versions = (query.get('versions') ?? '').split(',').map(Number).filter(version => version > 0);
+		if (isState) {
+			const body = getState({versions, includeMembers: query.has('members')});
+			response.writeHead(200, {'content-type': 'application/json', 'content-length': Buffer.byteLength(body)}).end(body);
+			return true;
+		}
+
+		response.writeHead(200, {'content-type': 'application/x-ndjson'});
+		openFeed!(response, versions);
+		return true;
+	}
+
 	/** Exchanges the active versions with the entry node on each call, so that a node without access to the store still learns of later versions. */
 	#syncVersions(request: IncomingMessage, response: ServerResponse): void {
 		const {getVersion, onVersion} = this.#dependencies;
