Spread versions in time when readers fail, and compress the state of a node

A quiet reader's word from the store grew older than the second for which it counts as fresh: after a pause the next wait for changes began without a word. Followers gave such readers up, and 13 in place of 8 nodes read the store. The first wait after a pause now ends at once.

A node that hears of a version, but gets none from the node that named it, asked again without a wait while the store did not answer; such an answer counts as a failure now. The state, which holds all members while the store does not answer, is compressed.

The tests "to one reader" and "at all, the nodes keep" failed before.

--- a/packages/node/src/peer-state.ts
+++ b/packages/node/src/peer-state.ts
@@ -1,4 +1,6 @@
 /** Fetches the active rules and the members from other nodes while the store is unavailable or behind. */
+import {Buffer} from 'node:buffer';
+import {gunzipSync} from 'node:zlib';
 import {
 	chooseInteger, computeBackoff, type Clock, type Random,
 } from '@ebonylead/base/base.js';
@@ -7,7 +9,7 @@
 import {MemberState, type Member} from '@ebonylead/peers/generated/peers.js';
 import {type Membership} from '@ebonylead/peers/membership.js';
 import {statePath} from '@ebonylead/upstreams/mesh-listener.js';
-import {Agent} from 'undici';
+import {Agent, type Dispatcher} from 'undici';
 import {type RulesUpdate} from './rules-history.js';
 
 /** Response of a node to a request for its state. */
@@ -22,6 +24,11 @@
 	return `{${update === undefined ? '' : `"update":${update},`}"members":${JSON.stringify(members)}}`;
 }
 
+async function readState({headers, body}: Dispatcher.ResponseData): Promise<PeerState> {
+	const bytes = Buffer.from(await body.arrayBuffer());
+	return JSON.parse((headers['content-encoding'] === 'gzip' ? gunzipSync(bytes) : bytes).toString()) as PeerState;
+}
+
 /** Dependencies of `PeerStateFetcher`. */
 export type PeerStateFetcherDependencies = {
 	readonly self: Member;
@@ -130,17 +137,17 @@
 		const before = getVersion();
 		try {
 			const response = await this.#agent.request({
-				origin, method: 'GET', path: `${statePath}?${query}`, signal: AbortSignal.any([signal, AbortSignal.timeout(fetchTimeoutMs)]),
+				origin, method: 'GET', path: `${statePath}?${query}`, headers: {'accept-encoding': 'gzip'}, signal: AbortSignal.any([signal, AbortSignal.timeout(fetchTimeoutMs)]),
 			});
 			if (response.statusCode !== statusOk) {
 				throw new StepError('fetch state', origin, `status ${response.statusCode}`);
 			}
 
-			const state = await response.body.json() as PeerState;
+			const state = await readState(response);
 			this.#needsWhole = true;
 			onState(state);
 			this.#needsWhole = false;
-			this.#failures = 0;
+			this.#failures = getVersion() > before || !this.#isBehind ? 0 : this.#failures + 1;
 			if (getVersion() > before) {
 				log.info({origin, before, version: getVersion()}, 'Fetched a later version from a peer');
 			}
--- /dev/null
+++ b/packages/node/src/test/rules-feed_test.ts
@@ -0,0 +1,194 @@
+import {createServer, type Server} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {Writable} from 'node:stream';
+import {SystemClock} from '@ebonylead/base/base.js';
+import {type AcceptedRules} from '@ebonylead/rules/rule-source.js';
+import {describe, it} from '@ebonylead/stand-ins/describe.js';
+import {FakeClock} from '@ebonylead/stand-ins/fake-clock.js';
+import {waitUntil} from '@ebonylead/stand-ins/wait-until.js';
+import {FeedFollower} from '../feed-follower.js';
+import {HttpFeedTransport} from '../feed-transport.js';
+import {RulesFeed, type FeedLine} from '../rules-feed.js';
+import {RulesHistory} from '../rules-history.js';
+
+const host = '127.0.0.1';
+
+function buildRules(version: number): AcceptedRules {
+	return {
+		snapshot: {
+			version,
+			rules: Array.from({length: 400}, (_, index) => ({
+				methods: [],
+				host: 'h.example',
+				path: `/${index}/**`,
+				headers: [],
+				split: [{service: 's', weight: 100}],
+				idempotent: true,
+				deadline: index === 0 ? version : 1,
+				prefer: 'local',
+				askedBy: 'o',
+				reason: '',
+				since: version,
+			})),
+		}, limits: undefined,
+	};
+}
+
+/** Connection whose peer reads only when told to. */
+class StalledOutput extends Writable {
+	readonly lines: FeedLine[] = [];
+	#finish: (() => void) | undefined;
+
+	constructor() {
+		super({highWaterMark: 1});
+	}
+
+	override _write(chunk: Uint8Array, _encoding: string, callback: () => void): void {
+		this.lines.push(JSON.parse(new TextDecoder().decode(chunk)) as FeedLine);
+		this.#finish = callback;
+	}
+
+	drain(): void {
+		this.#finish?.();
+	}
+}
+
+async function runTurn(): Promise<void> {
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+}
+
+type FeedFixture = {
+	readonly serverHistory: RulesHistory;
+	readonly feed: RulesFeed;
+	readonly history: RulesHistory;
+	readonly follower: FeedFollower;
+	readonly origin: string;
+	readonly server: Server;
+
+	/** Reasons with which feeds ended. */
+	readonly ends: string[];
+};
+
+/** Serves a feed over HTTP, and follows it. */
+async function withFeed(run: (fixture: FeedFixture) => Promise<void>): Promise<void> {
+	const clock = new SystemClock();
+	const serverHistory = new RulesHistory();
+	const history = new RulesHistory();
+	const ends: string[] = [];
+	const feed = new RulesFeed({history: serverHistory, clock, getFreshUntil: () => clock.now() + 1000});
+	const server = createServer((request, response) => {
+		const versions = new URL(request.url!, 'http://node').searchParams.get('versions')!;
+		feed.add(response, versions.split(',').map(Number));
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, host, resolve);
+	});
+	const transport = new HttpFeedTransport();
+	const follower = new FeedFollower({
+		transport,
+		history,
+		clock,
+		onRules(rules) {
+			history.add(rules);
+		},
+		onLine: () => undefined,
+		onEnd(_origin, reason) {
+			ends.push(reason);
+		},
+	});
+	try {
+		await run({
+			serverHistory, feed, history, follower, origin: `http://${host}:${(server.address() as AddressInfo).port}`, server, ends,
+		});
+	} finally {
+		follower.stop();
+		await transport.close();
+		server.closeAllConnections();
+		server.close();
+	}
+}
+
+describe('feed of versions', () => {
+	it('does not queue versions for a receiver that is slow', async t => {
+		const history = new RulesHistory();
+		const feed = new RulesFeed({history, clock: new FakeClock(), getFreshUntil: () => 0});
+		const output = new StalledOutput();
+		history.add(buildRules(1));
+		feed.add(output, []);
+		for (const version of [2, 3, 4, 5]) {
+			history.add(buildRules(version));
+			feed.sendToAll();
+		}
+
+		await runTurn();
+		t.deepEqual(output.lines.map(line => line.version), [1]);
+		output.drain();
+		await runTurn();
+		t.deepEqual(output.lines.map(line => line.version), [1, 5]);
+		output.destroy();
+		await runTurn();
+		t.is(feed.receiverCount, 0);
+	});
+
+	it('sends all rules once, then differences', async t => {
+		await withFeed(async ({serverHistory, feed, history, follower, origin}) => {
+			serverHistory.add(buildRules(1));
+			follower.start(origin);
+			await waitUntil(() => history.version === 1, 'the first version');
+			const first = history.current!.snapshot.rules;
+			serverHistory.add(buildRules(2));
+			feed.sendToAll();
+			await waitUntil(() => history.version === 2, 'the second version');
+			t.is(history.current!.snapshot.rules[0]!.deadline, 2);
+			t.is(history.current!.snapshot.rules[1], first[1]);
+			t.true(follower.freshUntil > performance.now());
+		});
+	});
+
+	it('sends a difference from the latest version that both nodes keep, although they skipped different ones', async t => {
+		await withFeed(async ({serverHistory, history, follower, origin}) => {
+			for (const version of [1, 2, 4]) {
+				history.add(buildRules(version));
+			}
+
+			for (const version of [1, 2, 3, 5]) {
+				serverHistory.add(buildRules(version));
+			}
+
+			const kept = history.current!.snapshot.rules;
+			t.true(serverHistory.encodeUpdate(history.listVersions())!.length < 1000);
+			follower.start(origin);
+			await waitUntil(() => history.version === 5, 'the last version');
+			t.is(kept.length, history.current!.snapshot.rules.length);
+		});
+	});
+
+	it('ends where an update does not fit, and then sends all rules', async t => {
+		await withFeed(async ({serverHistory, history, follower, origin, ends}) => {
+			const wrong = buildRules(1);
+			history.add({...wrong, snapshot: {version: 1, rules: wrong.snapshot.rules.slice(0, -1)}});
+			serverHistory.add(buildRules(1));
+			serverHistory.add(buildRules(2));
+			follower.start(origin);
+			await waitUntil(() => ends.length === 1, 'the end of the feed');
+			t.regex(ends[0]!, /checksum/v);
+			t.is(history.version, 1);
+			follower.start(origin);
+			await waitUntil(() => history.version === 2, 'the last version');
+			t.is(history.current!.snapshot.rules.length, 400);
+		});
+	});
+
+	it('reports its end where the connection is cut', async t => {
+		await withFeed(async ({serverHistory, history, follower, origin, server, ends}) => {
+			serverHistory.add(buildRules(1));
+			follower.start(origin);
+			await waitUntil(() => history.version === 1, 'the first version');
+			server.closeAllConnections();
+			await waitUntil(() => ends.length === 1, 'the end of the feed');
+			t.is(follower.origin, undefined);
+		});
+	});
+});
--- a/packages/node/src/test/rules-fleet.ts
+++ b/packages/node/src/test/rules-fleet.ts
@@ -239,9 +239,9 @@
 		return this.#version;
 	}
 
-	/** Starts all nodes. */
-	start(): void {
-		for (const node of this.nodes) {
+	/** Starts nodes; all by default. */
+	start(nodes: readonly FleetNode[] = this.nodes): void {
+		for (const node of nodes) {
 			void node.sync.run(node.controller.signal);
 			void node.feed.run(node.controller.signal);
 		}
--- a/packages/node/src/test/rules-fleet_test.ts
+++ b/packages/node/src/test/rules-fleet_test.ts
@@ -1,5 +1,5 @@
 import {describe, it} from '@ebonylead/stand-ins/describe.js';
-import {RulesFleet, type FleetOptions} from './rules-fleet.js';
+import {RulesFleet, type FleetNode, type FleetOptions} from './rules-fleet.js';
 
 const stormSeconds = 10;
 const versionIntervalMs = 500;
@@ -61,3 +61,132 @@
 		});
 	});
 }
+
+const failures: ReadonlyArray<{readonly title: string; readonly inject: (fleet: RulesFleet, node: FleetNode) => void}> = [
+	{
+		title: 'are killed',
+		inject(fleet, node) {
+			fleet.kill(node);
+		},
+	},
+	{
+		title: 'are cut off from the store without a sign',
+		inject(_fleet, node) {
+			node.isStoreCut = true;
+		},
+	},
+	{
+		title: 'are cut off from all without a sign',
+		inject(_fleet, node) {
+			node.isCut = true;
+		},
+	},
+];
+
+/** Versions of a storm before the failure. */
+const versionsBefore = 4;
+
+/** Times of the failure since the end of the first load, so that it meets different moments of the readers' requests. */
+const failureTimesMs = [0, 290];
+
+describe('spreading of a version that is written when both readers of a data centre', () => {
+	for (const {title, inject} of failures) {
+		for (const isStorm of [false, true]) {
+			it(`${title}${isStorm ? ' in a storm of versions' : ''} is in time on every node that reaches the store`, async t => {
+				for (const time of failureTimesMs) {
+					await withFleet(fleets[0]!, async fleet => {
+						for (let count = 0; count < (isStorm ? versionsBefore : 0); count++) {
+							fleet.writeVersion();
+							await fleet.clock.advance(versionIntervalMs);
+						}
+
+						await fleet.clock.advance(time);
+						for (const node of fleet.listReaders('dc0')) {
+							inject(fleet, node);
+						}
+
+						fleet.delays.length = 0;
+						fleet.writeVersion();
+						await fleet.clock.advance(maxDelayMs);
+						const late = fleet.listBehind();
+						const reached = fleet.delays.filter(({version}) => version === fleet.version).map(found => found.delay);
+						t.log(time, Math.max(...reached));
+						t.deepEqual(late, []);
+					});
+				}
+			});
+		}
+	}
+});
+
+describe('spreading of versions while the store does not answer', () => {
+	it('to one node, that node gets versions from its reader', async t => {
+		await withFleet(fleets[0]!, async fleet => {
+			const node = fleet.nodes.find(found => !found.ranking.isReader)!;
+			node.isStoreCut = true;
+			fleet.writeVersion();
+			await fleet.clock.advance(maxDelayMs);
+			t.deepEqual(fleet.listBehind(), []);
+		});
+	});
+
+	it('to one reader, that one gets versions from the other reader', async t => {
+		await withFleet(fleets[0]!, async fleet => {
+			fleet.listReaders('dc0')[0]!.isStoreCut = true;
+			await fleet.clock.advance(maxDelayMs);
+			fleet.writeVersion();
+			await fleet.clock.advance(maxDelayMs);
+			t.deepEqual(fleet.listBehind(), []);
+			t.deepEqual(fleet.nodes.filter(node => node.sync.freshUntil < fleet.clock.now()).map(node => node.id), []);
+		});
+	});
+
+	it('to one data centre, its nodes get versions from another one', async t => {
+		await withFleet(fleets[0]!, async fleet => {
+			for (const node of fleet.nodes.filter(found => found.dataCentre === 'dc0')) {
+				node.isStoreCut = true;
+			}
+
+			await fleet.clock.advance(5 * maxDelayMs);
+			for (let count = 0; count < 10; count++) {
+				fleet.writeVersion();
+				await fleet.clock.advance(maxDelayMs);
+				t.deepEqual(fleet.listBehind(), []);
+			}
+
+			t.true(fleet.nodes.every(node => node.maxOpenFeedCount <= 1));
+		});
+	});
+
+	it('at all, the nodes keep their versions, and only the readers read after it answers again', async t => {
+		await withFleet(fleets[0]!, async fleet => {
+			fleet.store.isDown = true;
+			await fleet.clock.advance(20_000);
+			fleet.store.isDown = false;
+			fleet.writeVersion();
+			await fleet.clock.advance(maxDelayMs);
+			t.deepEqual(fleet.listBehind(), []);
+			await fleet.clock.advance(20_000);
+			fleet.resetCounters();
+			fleet.writeVersion();
+			await fleet.clock.advance(maxDelayMs);
+			t.deepEqual(fleet.listBehind(), []);
+			t.deepEqual(fleet.nodes.filter(node => node.counters.storeCalls > 0 && !node.ranking.isReader).map(node => node.id), []);
+			t.is(fleet.listReaders().length, fleets[0]!.readerCount * fleets[0]!.dataCentreCount);
+		});
+	});
+
+	it('at all, a new node starts with the rules of its peers', async t => {
+		const fleet = new RulesFleet(fleets[0]!);
+		fleet.writeVersion();
+		const [late, ...others] = fleet.nodes;
+		fleet.start(others);
+		await fleet.clock.advance(2000);
+		fleet.store.isDown = true;
+		await fleet.clock.advance(5000);
+		fleet.start([late!]);
+		await fleet.clock.advance(5000);
+		t.is(late!.history.version, fleet.version);
+		await fleet.stop();
+	});
+});
--- a/packages/store/src/table-follower.ts
+++ b/packages/store/src/table-follower.ts
@@ -27,7 +27,7 @@
 const backoffBaseMs = 50;
 const maxBackoffMs = 400;
 
-/** Wait for changes at the start of a run where the store must be heard soon. */
+/** First wait for changes of a run or after a pause, where the store must be heard regularly. */
 const firstWaitMs = 1;
 
 /** Table without rows, whose reading shows at the least cost that the store answers. */
@@ -40,7 +40,7 @@
 	#failures = 0;
 	#lastResponseAt = Number.NEGATIVE_INFINITY;
 
-	/** Whether the next wait for changes is the first one of a run, which must show at once that the store answers. */
+	/** Whether the next wait for changes is the first one of a run or after a pause; it shows at once that the store answers. */
 	#isFirstWait = true;
 
 	constructor(dependencies: TableFollowerDependencies) {
@@ -89,6 +89,7 @@
 			onRows(page.rows, false);
 			// Each change completes the pending feed requests of all nodes. Waiting here bounds their rate; the changes made meanwhile arrive together in the next response.
 			await this.#pause(getMinInterval?.() ?? 0, signal);
+			this.#isFirstWait = true;
 		}
 	}
 
--- a/packages/upstreams/src/mesh-listener.ts
+++ b/packages/upstreams/src/mesh-listener.ts
@@ -4,6 +4,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {type AddressInfo} from 'node:net';
+import {gzipSync} from 'node:zlib';
 import {type Clock} from '@ebonylead/base/base.js';
 import {type DecisionLog} from '@ebonylead/base/decision-log.js';
 import {type Logger} from '@ebonylead/base/logs.js';
@@ -60,6 +61,12 @@
 const keepAliveTimeoutMs = 75_000;
 const maxHeaderBytes = 32 * 1024;
 
+/** Size from which on a state is compressed. */
+const minCompressedBytes = 1024;
+
+/** The lowest level, as processor time is scarcer than the little that the usual level saves. */
+const compressionLevel = 1;
+
 /** Admits calls to the local upstream and forwards them. */
 export class MeshListener {
 	readonly #dependencies: MeshListenerDependencies;
@@ -129,8 +136,7 @@
 		const query = new URL(request.url!, 'http://node').searchParams;
 		const versions = (query.get('versions') ?? '').split(',').map(Number).filter(version => version > 0);
 		if (isState) {
-			const body = getState({versions, includeMembers: query.has('members')});
-			response.writeHead(200, {'content-type': 'application/json', 'content-length': Buffer.byteLength(body)}).end(body);
+			sendState(request, response, getState({versions, includeMembers: query.has('members')}));
 			return true;
 		}
 
@@ -153,3 +159,10 @@
 		}
 	}
 }
+
+function sendState(request: IncomingMessage, response: ServerResponse, state: string): void {
+	const plain = Buffer.from(state);
+	const isCompressed = plain.length >= minCompressedBytes && request.headers['accept-encoding'] === 'gzip';
+	const body = isCompressed ? gzipSync(plain, {level: compressionLevel}) : plain;
+	response.writeHead(200, {'content-type': 'application/json', 'content-length': body.length, ...(isCompressed && {'content-encoding': 'gzip'})}).end(body);
+}
