--- a/packages/upstreams/src/mesh-listener.ts
+++ b/packages/upstreams/src/mesh-listener.ts
@@ -4,6 +4,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {type AddressInfo} from 'node:net';
+import {gzipSync} from 'node:zlib';
 import {type Clock} from '@ebonylead/base/base.js';
 import {type DecisionLog} from '@ebonylead/base/decision-log.js';
 import {type Logger} from '@ebonylead/base/logs.js';
@@ -34,8 +35,11 @@
 	/** Counts refusals; undefined where no metrics are exported. */
 	readonly refusalMetrics?: RefusalMetrics;
 
-	/** Returns the state of this node that is sent to another node as JSON; undefined where state requests are not served. */
-	readonly getState?: (query: StateQuery) => unknown;
+	/** Returns the state of this node in JSON, as it is sent to another node; undefined where state requests are not served. */
+	readonly getState?: (query: StateQuery) => string;
+
+	/** Sends the versions of this node to the output until it closes; undefined where feeds are not served. */
+	readonly openFeed?: (output: ServerResponse, versions: readonly number[]) => void;
 
 	/** Returns the active version of the rules on this node. */
 	readonly getVersion?: () => number;
@@ -46,20 +50,29 @@
 
 /** Parameters of a state request between nodes. */
 export type StateQuery = {
-	/** Active version at the requesting node; only later rules are returned. */
-	readonly version: number;
+	/** Versions that the requesting node keeps; only a later one is returned. */
+	readonly versions: readonly number[];
 	readonly includeMembers: boolean;
 };
 
 /** Path of state requests between nodes. */
 export const statePath = '/x-ebonylead/state';
 
+/** Path of feeds between nodes. */
+export const feedPath = '/x-ebonylead/feed';
+
 /** Idle connections stay open longer here than at the entry nodes, so that the entry node is the one that closes them. */
 const keepAliveTimeoutMs = 75_000;
 const maxHeaderBytes = 32 * 1024;
 const statusOk = 200;
 const statusBadRequest = 400;
 
+/** Size from which on a state is compressed. */
+const minCompressedBytes = 1024;
+
+/** The lowest level, as processor time is scarcer than the little that the usual level saves. */
+const compressionLevel = 1;
+
 /** Admits calls to the local upstream and forwards them. */
 export class MeshListener {
 	readonly #dependencies: MeshListenerDependencies;
@@ -107,9 +120,7 @@
 	}
 
 	async #handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		if (request.url?.startsWith(statePath) && this.#dependencies.getState) {
-			const query = new URL(request.url, 'http://node').searchParams;
-			sendJson(response, statusOk, this.#dependencies.getState({version: Number(query.get('version')), includeMembers: query.has('members')}));
+		if (this.#serveState(request, response)) {
 			return;
 		}
 
@@ -138,6 +149,27 @@
 		sendJson(response, statusOk, states);
 	}
 
+	/** Answers a request for the state or the feed of this node; returns false for any other request. */
+	#serveState(request: IncomingMessage, response: ServerResponse): boolean {
+		const {getState, openFeed} = this.#dependencies;
+		const isState = request.url?.startsWith(statePath) && getState !== undefined;
+		const isFeed = request.url?.startsWith(feedPath) && openFeed !== undefined;
+		if (!isState && !isFeed) {
+			return false;
+		}
+
+		const query = new URL(request.url!, 'http://node').searchParams;
+		const versions = (query.get('versions') ?? '').split(',').map(Number).filter(version => version > 0);
+		if (isState) {
+			sendState(request, response, getState({versions, includeMembers: query.has('members')}));
+			return true;
+		}
+
+		response.writeHead(statusOk, {'content-type': 'application/x-ndjson'});
+		openFeed!(response, versions);
+		return true;
+	}
+
 	/** Exchanges the active versions with the entry node on each call, so that a node without access to the store still learns of later versions. */
 	#syncVersions(request: IncomingMessage, response: ServerResponse): void {
 		const {getVersion, onVersion} = this.#dependencies;
@@ -157,3 +189,10 @@
 	const body = JSON.stringify(value);
 	response.writeHead(status, {'content-type': 'application/json', 'content-length': Buffer.byteLength(body)}).end(body);
 }
+
+function sendState(request: IncomingMessage, response: ServerResponse, state: string): void {
+	const plain = Buffer.from(state);
+	const isCompressed = plain.length >= minCompressedBytes && request.headers['accept-encoding'] === 'gzip';
+	const body = isCompressed ? gzipSync(plain, {level: compressionLevel}) : plain;
+	response.writeHead(statusOk, {'content-type': 'application/json', 'content-length': body.length, ...(isCompressed && {'content-encoding': 'gzip'})}).end(body);
+}
