Emulate loads in which each VM is an entry node

A load was sent by one entry node, which knows of every call. In a deployment of 70 VMs a node sees a seventieth of the load, and its knowledge of an upstream is seconds old. A load can say now that each VM is an entry node; calls of an upstream start at the node beside it. The results count refused calls that waited for over a quarter of their objective, and those that had come back.

--- a/packages/bench/src/play.ts
+++ b/packages/bench/src/play.ts
@@ -22,8 +22,10 @@
 } as const;
 
 function renderTable(results: Results): string {
-	const rows = [...results].map(([name, {started: asked, inTime, late, refused, failed, runs, wastedRuns}]) => [name, ...[asked, inTime, late, refused, failed, runs, wastedRuns].map(String)]);
-	return formatTable([['class', 'asked', 'in time', 'late', 'refused', 'failed', 'runs', 'wasted'], ...rows]);
+	const rows = [...results].map(([name, result]) => [
+		name, ...[result.started, result.inTime, result.late, result.refused, result.refusedLate, result.refusedAgain, result.failed, result.runs, result.wastedRuns].map(String),
+	]);
+	return formatTable([['class', 'asked', 'in time', 'late', 'refused', 'refused late', 'refused again', 'failed', 'runs', 'wasted'], ...rows]);
 }
 
 function renderBar(result: Readonly<CallClassResult>, top: number): string {
--- a/packages/stand-ins/src/load-emulator.ts
+++ b/packages/stand-ins/src/load-emulator.ts
@@ -3,7 +3,7 @@
  * upstreams that call each other. Admission control and the choice of targets are the
  * code that nodes run.
  */
-import {type Clock, type Random} from '@ebonylead/base/base.js';
+import {chooseInteger, type Clock, type Random} from '@ebonylead/base/base.js';
 import {SeededRandom} from '@ebonylead/base/random.js';
 import {TargetChooser} from '@ebonylead/callers/target-chooser.js';
 import {MemberState, UpstreamState} from '@ebonylead/peers/generated/peers.js';
@@ -57,6 +57,9 @@
 
 	/** Milliseconds during which callers start calls. */
 	readonly duration: number;
+
+	/** Whether each VM is an entry node that knows only the calls that it sent itself; otherwise one entry node sends all calls. */
+	readonly isEntryAtEachVm?: boolean;
 };
 
 /** Counts of the calls of a class by their result. */
@@ -73,6 +76,12 @@
 	/** Calls whose last sending was refused. */
 	refused: number;
 
+	/** Refused calls that waited in vain for over a quarter of their latency objective, in all sendings together. */
+	refusedLate: number;
+
+	/** Refused calls that had been sent again after a refusal. */
+	refusedAgain: number;
+
 	/** Calls whose run ended after the deadline, or made a call that was refused or failed. */
 	failed: number;
 
@@ -86,12 +95,16 @@
 type Outcome = {
 	readonly kind: 'served' | 'failed' | 'refused';
 
+	/** Milliseconds that the call waited without a slot. */
+	readonly waited: number;
+
 	/** Milliseconds after which a refused call may be sent again. */
 	readonly retryAfter?: number;
 };
 
-/** A VM: the admission of its node, and the speed of its upstream. */
+/** A VM: the choice of targets and the admission of its node, and the speed of its upstream. */
 type Vm = {
+	readonly chooser: TargetChooser;
 	readonly admission: AdmissionControl;
 	readonly speed: number;
 };
@@ -105,6 +118,9 @@
 /** A caller waits as long as the refusal advises before it sends a call again, but at most this share of the time that is left for the call. */
 const maxRetryAfterShare = 1 / 3;
 
+/** Share of the latency objective from which a wait that ends with a refusal counts as late. */
+const maxVainWaitShare = 0.25;
+
 /** Half of the width of the distribution of a call's work, as a share of its mean. */
 const workSpread = 0.5;
 
@@ -117,8 +133,8 @@
 	readonly #clock: EventClock;
 	readonly #random: Random;
 	readonly #membership = new Membership();
-	readonly #chooser: TargetChooser;
-	readonly #vms = new Map<string, Vm>();
+	readonly #vms: Vm[] = [];
+	readonly #vmsById = new Map<string, Vm>();
 	readonly #routes = new Map<string, Route>();
 	readonly #results = new Map<string, CallClassResult>();
 
@@ -126,9 +142,9 @@
 		this.#load = load;
 		this.#clock = new EventClock();
 		this.#random = new SeededRandom(seed);
-		this.#chooser = new TargetChooser(this.#membership, 'a', this.#clock, this.#random);
+		const sharedChooser = load.isEntryAtEachVm ? undefined : this.#createChooser();
 		for (const service of load.services) {
-			this.#addService(service);
+			this.#addService(service, sharedChooser);
 		}
 
 		const lines = load.classes.map(({name, service}) => `ANY a.example/${name}/** -> ${service} # A`);
@@ -139,7 +155,7 @@
 				method: 'GET', host: 'a.example', path: `/${name}/x`, headers: {},
 			})!);
 			this.#results.set(name, {
-				started: 0, inTime: 0, late: 0, refused: 0, failed: 0, wastedRuns: 0, runs: 0,
+				started: 0, inTime: 0, late: 0, refused: 0, refusedLate: 0, refusedAgain: 0, failed: 0, wastedRuns: 0, runs: 0,
 			});
 		}
 	}
@@ -156,11 +172,17 @@
 		return this.#results;
 	}
 
-	#addService({name, slots, speeds}: EmulatedService): void {
+	#createChooser(): TargetChooser {
+		return new TargetChooser(this.#membership, 'a', this.#clock, this.#random);
+	}
+
+	#addService({name, slots, speeds}: EmulatedService, sharedChooser: TargetChooser | undefined): void {
 		const clock: Clock = this.#clock;
 		for (const [index, speed] of speeds.entries()) {
 			const id = `${name}-${index}`;
-			this.#vms.set(id, {admission: new AdmissionControl(clock, slots), speed});
+			const vm = {chooser: sharedChooser ?? this.#createChooser(), admission: new AdmissionControl(clock, slots), speed};
+			this.#vms.push(vm);
+			this.#vmsById.set(id, vm);
 			this.#membership.merge([{
 				id, incarnation: 1, dataCentre: 'a', region: 'r', host: id, peerPort: 1, meshPort: 1, state: MemberState.ALIVE, service: name, upstreamState: UpstreamState.READY, slots, instance: 1,
 			}], 0);
@@ -180,16 +202,21 @@
 		const result = this.#results.get(callClass.name)!;
 		const startedAt = this.#clock.now();
 		const end = startedAt + (callClass.deadline * 2);
+		let waited = 0;
 		result.started++;
 		for (let attempt = 0; ; attempt++) {
-			const outcome = await this.#sendCall(callClass, startedAt + callClass.objective, Math.min(end, this.#clock.now() + callClass.deadline));
+			const {chooser} = this.#vms[chooseInteger(this.#random, this.#vms.length)]!;
+			const outcome = await this.#sendCall(chooser, callClass, startedAt + callClass.objective, Math.min(end, this.#clock.now() + callClass.deadline));
 			if (outcome.kind === 'served') {
 				result[this.#clock.now() <= startedAt + callClass.objective ? 'inTime' : 'late']++;
 				return;
 			}
 
+			waited += outcome.waited;
 			if (outcome.kind === 'failed' || attempt === callClass.returns) {
 				result[outcome.kind]++;
+				result.refusedLate += outcome.kind === 'refused' && waited > callClass.objective * maxVainWaitShare ? 1 : 0;
+				result.refusedAgain += outcome.kind === 'refused' && attempt > 0 ? 1 : 0;
 				return;
 			}
 
@@ -198,20 +225,22 @@
 	}
 
 	/** Sends a call once, with attempts at one node after the other until one admits it. */
-	async #sendCall(callClass: CallClass, objective: number, deadline: number): Promise<Outcome> {
+	async #sendCall(chooser: TargetChooser, callClass: CallClass, objective: number, deadline: number): Promise<Outcome> {
 		const route = this.#routes.get(callClass.name)!;
 		const attemptedIds = new Set<string>();
+		const startedAt = this.#clock.now();
 		let retryAfter = 0;
 		while (attemptedIds.size < maxAttempts && this.#clock.now() < deadline) {
-			const member = this.#chooser.choose(callClass.service, route, attemptedIds);
+			const member = chooser.choose(callClass.service, route, attemptedIds);
 			if (member === undefined) {
+				retryAfter = chooser.findCapacityRefusal(callClass.service, route)?.retryAfter ?? retryAfter;
 				break;
 			}
 
 			attemptedIds.add(member.id);
-			this.#chooser.recordStart(member);
+			chooser.recordStart(member);
 			await this.#clock.sleep(hopLatencyMs);
-			const vm = this.#vms.get(member.id)!;
+			const vm = this.#vmsById.get(member.id)!;
 			const admission = await this.#admit(vm, callClass, objective, deadline);
 			const outcome = admission.kind === 'admitted' ? await this.#runCall(vm, callClass, deadline) : undefined;
 			if (admission.kind === 'admitted') {
@@ -219,7 +248,7 @@
 			}
 
 			await this.#clock.sleep(hopLatencyMs);
-			this.#chooser.recordEnd(member, false, vm.admission.load);
+			chooser.recordEnd(member, false, vm.admission.load);
 			if (outcome !== undefined) {
 				return outcome;
 			}
@@ -227,12 +256,12 @@
 			if (admission.kind === 'refused') {
 				retryAfter = admission.refusal.retryAfter ?? 0;
 				if (admission.refusal.isUpstreamFull) {
-					this.#chooser.recordCapacityRefusal(member, route, admission.refusal);
+					chooser.recordCapacityRefusal(member, route, admission.refusal);
 				}
 			}
 		}
 
-		return {kind: 'refused', retryAfter};
+		return {kind: 'refused', waited: this.#clock.now() - startedAt, retryAfter};
 	}
 
 	async #admit(vm: Vm, callClass: CallClass, objective: number, deadline: number): Promise<Admission> {
@@ -250,14 +279,14 @@
 		for (const name of callClass.calls) {
 			const nestedClass = this.#load.classes.find(found => found.name === name)!;
 			const now = this.#clock.now();
-			const outcome = await this.#sendCall(nestedClass, now + nestedClass.objective, Math.min(deadline, now + nestedClass.deadline));
+			const outcome = await this.#sendCall(vm.chooser, nestedClass, now + nestedClass.objective, Math.min(deadline, now + nestedClass.deadline));
 			if (outcome.kind !== 'served') {
 				result.wastedRuns++;
-				return {kind: 'failed'};
+				return {kind: 'failed', waited: 0};
 			}
 		}
 
 		await this.#clock.sleep(work / 2);
-		return {kind: this.#clock.now() <= deadline ? 'served' : 'failed'};
+		return {kind: this.#clock.now() <= deadline ? 'served' : 'failed', waited: 0};
 	}
 }
--- a/packages/stand-ins/src/test/load-emulator_test.ts
+++ b/packages/stand-ins/src/test/load-emulator_test.ts
@@ -35,6 +35,14 @@
 			}
 		});
 
+		it(`serves a load of half the capacity in time if each VM is an entry node (seed ${seed})`, async t => {
+			const results = await new LoadEmulator({...buildLoad(0.5), isEntryAtEachVm: true}, seed).run();
+			for (const name of ['check', 'confirm']) {
+				const {started, inTime} = results.get(name)!;
+				t.true(inTime / started > 0.95, `${name}: ${inTime} of ${started}`);
+			}
+		});
+
 		it(`wastes few runs of upstreams that call others at a load above the capacity (seed ${seed})`, async t => {
 			const results = await new LoadEmulator(buildLoad(1.5), seed).run();
 			const {runs, wastedRuns, inTime, started} = results.get('check')!;
