Split the queue and the running calls out of admission control

The order of the queue and the counts of running calls are classes of their own now; decisions are unchanged.

--- a/packages/upstreams/src/admission.ts
+++ b/packages/upstreams/src/admission.ts
@@ -1,7 +1,9 @@
 /** Admission control of the sidecar: decides which calls run now, which wait in the queue, and which are refused. */
 import {type Clock} from '@ebonylead/base/base.js';
 import {buildAdmissionRefusal, type AdmissionRefusalCause} from './admission-refusals.js';
+import {AdmissionQueue, type QueuedCall} from './admission-queue.js';
 import {type Cancellation} from './cancellation.js';
+import {RunningCalls} from './running-calls.js';
 import {PriorityUsage, ServiceTimes} from './service-times.js';
 import {refusalCauses, type SidecarRefusal} from './upstreams.js';
 
@@ -37,17 +39,6 @@
 	= | {readonly kind: 'admitted'; readonly release: () => void}
 		| {readonly kind: 'refused'; readonly refusal: SidecarRefusal};
 
-type QueuedCall = {
-	readonly request: AdmissionRequest;
-
-	/** Priority in the queue: that of the request, or `shortCallPriority`. */
-	readonly priority: number;
-
-	/** Whether the call was expected to miss its objective when it arrived; it gets only slots that would otherwise be idle. */
-	readonly isBestEffort: boolean;
-	readonly resolve: (admission: Admission) => void;
-};
-
 /** Load in calls per slot that is reported after `close`, while the upstream is draining or absent. */
 const closedLoad = 1000;
 
@@ -93,16 +84,10 @@
 	readonly #clock: Clock;
 	readonly #serviceTimes = new ServiceTimes(initialMeanMs);
 	readonly #priorityUsage = new PriorityUsage();
-	readonly #runningByRoute = new Map<string, number>();
-
-	/** Value of `#turnCount` when each caller last got a slot from the queue. */
-	readonly #lastTurns = new Map<string, number>();
-	#turnCount = 0;
-	readonly #queue: QueuedCall[] = [];
+	readonly #running = new RunningCalls();
+	readonly #queue = new AdmissionQueue();
 	#slots: number;
-	#running = 0;
 	#isClosed = false;
-	#isExclusiveRunning = false;
 	#isSweeping = false;
 
 	constructor(clock: Clock, slots: number) {
@@ -116,12 +101,12 @@
 			return closedLoad;
 		}
 
-		return this.#slots === 0 ? 1 : (this.#running + this.#queue.length) / this.#slots;
+		return this.#slots === 0 ? 1 : (this.#running.count + this.#queue.length) / this.#slots;
 	}
 
 	/** Number of running calls. */
 	get running(): number {
-		return this.#running;
+		return this.#running.count;
 	}
 
 	/** Number of queued calls. */
@@ -143,7 +128,7 @@
 	/** Refuses all new and queued calls; running calls are not affected. */
 	close(): void {
 		this.#isClosed = true;
-		this.#refuseAll(this.#queue.splice(0), refusalCauses.leaving);
+		this.#refuseAll(this.#queue.removeAll(), refusalCauses.leaving);
 	}
 
 	/** Admits calls again after `close`. */
@@ -159,7 +144,7 @@
 
 		const isShort = this.#isShort(request);
 		const priority = isShort ? shortCallPriority : request.priority;
-		const isImmediate = this.#queue.length === 0 && this.#canStartNow(request);
+		const isImmediate = this.#queue.length === 0 && this.#canStart(request);
 		const expectedEnd = this.#clock.now() + (isImmediate ? 0 : this.#estimateWait(request, priority)) + this.#serviceTimes.estimate(request.route);
 		if (expectedEnd > request.deadline) {
 			return this.#buildRefusal(request, refusalCauses.deadline);
@@ -170,67 +155,49 @@
 		}
 
 		const isBestEffort = expectedEnd > request.objective && !isShort;
-		if (isBestEffort && this.#countBestEffort() >= this.#slots * maxBestEffortPerSlot) {
+		if (isBestEffort && this.#queue.bestEffortCount >= this.#slots * maxBestEffortPerSlot) {
 			return this.#buildRefusal(request, refusalCauses.objective);
 		}
 
 		return this.#waitForSlot(request, priority, isBestEffort);
 	}
 
-	#canStartNow(request: AdmissionRequest): boolean {
-		if (this.#isExclusiveRunning || (request.isExclusive && this.#running > 0)) {
-			return false;
-		}
-
-		if (!request.isExclusive && this.#queue.some(queued => queued.request.isExclusive)) {
+	#canStart(request: AdmissionRequest): boolean {
+		if (this.#running.hasExclusive || (request.isExclusive && this.#running.count > 0)) {
 			return false;
 		}
 
-		const routeCount = this.#runningByRoute.get(request.route) ?? 0;
-		return this.#running < this.#slots && routeCount < (request.routeSlots ?? this.#slots);
+		return this.#running.count < this.#slots && this.#running.countRoute(request.route) < (request.routeSlots ?? this.#slots);
 	}
 
 	#startCall(request: AdmissionRequest, priority: number): Admission {
-		const startedAt = this.#clock.now();
+		const call = {route: request.route, startedAt: this.#clock.now(), isExclusive: request.isExclusive ?? false};
 		let isReleased = false;
-		this.#running++;
-		this.#isExclusiveRunning = request.isExclusive ?? false;
-		this.#runningByRoute.set(request.route, (this.#runningByRoute.get(request.route) ?? 0) + 1);
+		this.#running.add(call);
 		const release = () => {
 			if (isReleased) {
 				return;
 			}
 
 			isReleased = true;
-			this.#release(request, priority, this.#clock.now() - startedAt);
+			const now = this.#clock.now();
+			this.#running.remove(call);
+			this.#serviceTimes.record(call.route, now - call.startedAt);
+			this.#priorityUsage.record(priority, now - call.startedAt, now);
+			this.#startQueued();
 		};
 
 		return {kind: 'admitted', release};
 	}
 
-	#release(request: AdmissionRequest, priority: number, duration: number): void {
-		this.#running--;
-		this.#isExclusiveRunning = false;
-		this.#serviceTimes.record(request.route, duration);
-		this.#priorityUsage.record(priority, duration, this.#clock.now());
-		const remaining = (this.#runningByRoute.get(request.route) ?? 1) - 1;
-		if (remaining === 0) {
-			this.#runningByRoute.delete(request.route);
-		} else {
-			this.#runningByRoute.set(request.route, remaining);
-		}
-
-		this.#startQueued();
-	}
-
 	async #waitForSlot(request: AdmissionRequest, priority: number, isBestEffort: boolean): Promise<Admission> {
 		return new Promise(resolve => {
 			const queued: QueuedCall = {
 				request, priority, isBestEffort, resolve,
 			};
-			this.#queue.push(queued);
+			this.#queue.add(queued);
 			if (this.#queue.length > this.#slots * maxQueuedPerSlot) {
-				this.#refuseLowestPriority();
+				this.#refuse(this.#queue.findLowestPriority()!, refusalCauses.queueFull);
 			}
 
 			void this.#runDeadlineSweep();
@@ -257,32 +224,16 @@
 
 	#refuseNearDeadline(): void {
 		const now = this.#clock.now();
-		const near = this.#queue.filter(({request: {deadline, route}}) => deadline < now + Math.max(minRefusalMarginMs, this.#serviceTimes.estimate(route)));
+		const near = this.#queue.listAll().filter(({request: {deadline, route}}) => deadline < now + Math.max(minRefusalMarginMs, this.#serviceTimes.estimate(route)));
 		for (const queued of near) {
-			this.#remove(queued);
+			this.#queue.remove(queued);
 		}
 
 		this.#refuseAll(near, refusalCauses.deadlineNear);
 	}
 
-	/** Refuses the oldest call of the caller that has the most queued calls of the lowest priority. */
-	#refuseLowestPriority(): void {
-		const lowestPriority = Math.max(...this.#queue.map(({priority}) => priority));
-		const candidates = this.#queue.filter(({priority}) => priority === lowestPriority);
-		const queuedByCaller = new Map<string, number>();
-		for (const {request} of candidates) {
-			queuedByCaller.set(request.caller, (queuedByCaller.get(request.caller) ?? 0) + 1);
-		}
-
-		const longestQueue = Math.max(...queuedByCaller.values());
-		const refused = candidates.find(({request}) => queuedByCaller.get(request.caller) === longestQueue);
-		if (refused) {
-			this.#refuse(refused, refusalCauses.queueFull);
-		}
-	}
-
 	#refuse(queued: QueuedCall, cause: AdmissionRefusalCause): void {
-		if (this.#remove(queued)) {
+		if (this.#queue.remove(queued)) {
 			this.#refuseAll([queued], cause);
 		}
 	}
@@ -297,63 +248,30 @@
 		this.#startQueued();
 	}
 
-	#remove(queued: QueuedCall): boolean {
-		const index = this.#queue.indexOf(queued);
-		if (index !== -1) {
-			this.#queue.splice(index, 1);
-		}
-
-		return index !== -1;
-	}
-
 	/** Assigns free slots to queued calls in their order. */
 	#startQueued(): void {
-		while (this.#running < this.#slots) {
+		while (this.#running.count < this.#slots) {
 			const next = this.#findNext();
 			if (next === undefined) {
 				return;
 			}
 
 			const {request} = next;
-			this.#remove(next);
-			this.#turnCount++;
-			this.#lastTurns.set(request.caller, this.#turnCount);
+			this.#queue.recordTurn(next);
+			this.#queue.remove(next);
 			if (this.#clock.now() + this.#serviceTimes.estimate(request.route) > request.deadline) {
 				next.resolve(this.#buildRefusal(request, refusalCauses.deadlineNear));
 			} else {
 				next.resolve(this.#startCall(request, next.priority));
 			}
 		}
-
-		if (this.#queue.length === 0) {
-			this.#lastTurns.clear();
-		}
 	}
 
+	/** Finds the queued call that starts next; a queued exclusive call holds up the others. */
 	#findNext(): QueuedCall | undefined {
-		const exclusive = this.#queue.find(queued => queued.request.isExclusive);
-		const candidates = exclusive ? [exclusive] : this.#queue;
-		let best: QueuedCall | undefined;
-		for (const queued of candidates) {
-			if (this.#canStartQueued(queued.request) && (best === undefined || this.#compare(queued, best) < 0)) {
-				best = queued;
-			}
-		}
-
-		return best;
-	}
-
-	/** Whether a queued call may start; `#startQueued` has checked that a slot is free. */
-	#canStartQueued(request: AdmissionRequest): boolean {
-		const routeCount = this.#runningByRoute.get(request.route) ?? 0;
-		return !this.#isExclusiveRunning && !(request.isExclusive && this.#running > 0) && routeCount < (request.routeSlots ?? this.#slots);
-	}
-
-	#compare(left: QueuedCall, right: QueuedCall): number {
-		return left.priority - right.priority
-			|| Number(this.#isExpectedLate(left)) - Number(this.#isExpectedLate(right))
-			|| (this.#lastTurns.get(left.request.caller) ?? 0) - (this.#lastTurns.get(right.request.caller) ?? 0)
-			|| left.request.objective - right.request.objective;
+		const exclusive = this.#queue.findExclusive();
+		const candidates = exclusive ? [exclusive] : this.#queue.listInOrder(queued => this.#isExpectedLate(queued));
+		return candidates.find(({request}) => this.#canStart(request));
 	}
 
 	/** Whether the call is expected to miss its objective. */
@@ -371,10 +289,6 @@
 		return deadline - now <= maxShortCallMs && objective > now + 1;
 	}
 
-	#countBestEffort(): number {
-		return this.#queue.filter(queued => queued.isBestEffort).length;
-	}
-
 	/**
 	 * Estimates the time in milliseconds until a call gets a slot: the service
 	 * times of the queued calls ahead of it and of one running call, divided by
@@ -382,8 +296,8 @@
 	 */
 	#estimateWait(request: AdmissionRequest, priority: number): number {
 		let queuedMs = this.#serviceTimes.mean;
-		for (const queued of this.#queue) {
-			queuedMs += this.#isBefore(queued, request, priority) ? this.#serviceTimes.estimate(queued.request.route) : 0;
+		for (const queued of this.#queue.listBefore(request, priority)) {
+			queuedMs += this.#serviceTimes.estimate(queued.request.route);
 		}
 
 		const slots = Math.max(1, this.#slots);
@@ -391,11 +305,6 @@
 		return queuedMs / freeSlots;
 	}
 
-	/** Whether a queued call gets a slot before a new one. */
-	#isBefore({request, priority, isBestEffort}: QueuedCall, other: AdmissionRequest, otherPriority: number): boolean {
-		return priority < otherPriority || (priority === otherPriority && !isBestEffort && request.objective <= other.objective);
-	}
-
 	#buildRefusal(request: AdmissionRequest, cause: AdmissionRefusalCause): Admission {
 		const wait = this.#estimateWait(request, this.#isShort(request) ? shortCallPriority : request.priority);
 		return {kind: 'refused', refusal: buildAdmissionRefusal(cause, Math.max(minRetryAfterMs, Math.ceil(wait)))};
