--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -52,6 +52,9 @@
 	/** Port for callers on this VM. */
 	readonly callerPort: number;
 
+	/** Bandwidth of the VM's link in kbit/s; undefined if it is not known. */
+	readonly linkRate?: number;
+
 	/** Number of retries that all nodes together may make in addition to the ratio; divided evenly among the nodes. */
 	readonly retrySlack: number;
 
@@ -308,7 +311,7 @@
 	}
 
 	#buildMember(): Member {
-		const {id, dataCentre, region, host, meshPort} = this.#dependencies.settings;
+		const {id, dataCentre, region, host, meshPort, linkRate} = this.#dependencies.settings;
 		return {
 			id,
 			incarnation: 0,
@@ -322,6 +325,7 @@
 			upstreamState: UpstreamState.ABSENT,
 			slots: 0,
 			instance: Math.floor(this.#random.next() * instanceLimit),
+			linkRate,
 		};
 	}
 
--- a/packages/node/src/reader-ranking.ts
+++ b/packages/node/src/reader-ranking.ts
@@ -22,8 +22,8 @@
 const maxSuspensionMs = 16_000;
 
 /**
- * Ranks nodes by rendezvous hash, so that a change of one member moves few
- * followers. Nodes may disagree about the members: a node that reads without
+ * Ranks nodes by the bandwidth of their links, and equal ones by rendezvous
+ * hash, so that a change of one member moves few followers. Nodes may disagree about the members: a node that reads without
  * need only costs a read, and one that follows a node that does not read gets
  * what that one receives.
  */
@@ -90,8 +90,7 @@
 
 		let ranked = this.#rankedByDataCentre.get(dataCentre);
 		if (ranked === undefined) {
-			ranked = membership.listAlive(dataCentre).map(known => known.member)
-				.toSorted((left, right) => hashText(`reader ${right.id}`) - hashText(`reader ${left.id}`));
+			ranked = membership.listAlive(dataCentre).map(known => known.member).toSorted(compareReaders);
 			this.#rankedByDataCentre.set(dataCentre, ranked);
 		}
 
@@ -103,6 +102,11 @@
 	}
 }
 
+/** Orders members by the bandwidth of their links, as a reader receives all rules for each version, then by rendezvous hash. */
+function compareReaders(left: Member, right: Member): number {
+	return (right.linkRate ?? 0) - (left.linkRate ?? 0) || hashText(`reader ${right.id}`) - hashText(`reader ${left.id}`);
+}
+
 function getOrigin(member: Member): string {
 	return `http://${member.host}:${member.meshPort}`;
 }
