Follow a store that was restored from a copy

Cause: the users' store may come back from a copy some seconds old. Revisions then go back and are given out again; the header Store-Era rises by one. A follower kept its revision as cursor and the highest one seen, so that it missed every change until the store had passed that revision again, and read the rest from the middle. Change: pages and outcomes of writes carry the era of the store. The follower reads the table anew in a new era, also where the revisions of the copy have been given out again, and sets late responses of an earlier era aside. A store without the header stays in era 0.

--- a/packages/stand-ins/src/fake-row-store.ts
+++ b/packages/stand-ins/src/fake-row-store.ts
@@ -6,6 +6,9 @@
 
 const storeName = 'fake row store';
 
+/** State of the store at one moment, from which it can be restored. */
+export type StoreCopy = {readonly rows: ReadonlyMap<string, SharedRow>; readonly revision: number};
+
 /** Keeps rows in memory; each write wakes the followers that wait for changes. */
 export class FakeRowStore implements RowStore {
 	/** Whether every operation fails without an effect. */
@@ -13,9 +16,10 @@
 
 	/** Number of further writes that take effect, but whose responses are lost. */
 	lostResponses = 0;
-	readonly #rows = new Map<string, SharedRow>();
+	#rows = new Map<string, SharedRow>();
 	readonly #waiters = new Set<() => void>();
 	#revision = 0;
+	#era = 0;
 	#firstKeptRevision = 0;
 
 	/** Returns the value of a row; undefined if there is none. */
@@ -45,24 +49,40 @@
 		}
 	}
 
+	/** Copies the present state. */
+	createCopy(): StoreCopy {
+		return {rows: new Map(this.#rows), revision: this.#revision};
+	}
+
+	/** Restores the state of a copy. Writes since the copy are lost, their revisions are given out again, and a new era begins. */
+	restoreCopy({rows, revision}: StoreCopy): void {
+		this.#rows = new Map(rows);
+		this.#revision = revision;
+		this.#firstKeptRevision = Math.min(this.#firstKeptRevision, revision);
+		this.#era++;
+		for (const wake of this.#waiters) {
+			wake();
+		}
+	}
+
 	async readTable(table: string): Promise<RowPage> {
 		this.#throwIfDown();
-		return {rows: this.#listRows(table).filter(row => row.value !== undefined), revision: this.#revision};
+		return {rows: this.#listRows(table).filter(row => row.value !== undefined), revision: this.#revision, era: this.#era};
 	}
 
 	async waitForChanges(table: string, after: number, signal: AbortSignal): Promise<RowPage> {
 		this.#throwIfDown();
-		const isChanged = () => this.#listRows(table).some(row => row.revision > after) || after < this.#firstKeptRevision;
-		if (!isChanged()) {
+		const hasHistory = () => after >= this.#firstKeptRevision && after <= this.#revision;
+		if (hasHistory() && !this.#listRows(table).some(row => row.revision > after)) {
 			await this.#waitForWrite(signal);
 		}
 
 		this.#throwIfDown();
-		if (after < this.#firstKeptRevision) {
-			throw new HistoryLostError('the history was removed');
+		if (!hasHistory()) {
+			throw new HistoryLostError('the history was removed or never existed');
 		}
 
-		return {rows: this.#listRows(table).filter(row => row.revision > after), revision: this.#revision};
+		return {rows: this.#listRows(table).filter(row => row.revision > after), revision: this.#revision, era: this.#era};
 	}
 
 	async writeRow(table: string, key: string, value: string | undefined, expectedRevision: number): Promise<WriteOutcome> {
@@ -70,7 +90,7 @@
 		const row = this.#rows.get(`${table}/${key}`);
 		const revision = row?.value === undefined ? 0 : row.revision;
 		if (revision !== expectedRevision) {
-			return {kind: 'conflict', revision};
+			return {kind: 'conflict', revision, era: this.#era};
 		}
 
 		this.setValue(table, key, value);
@@ -79,7 +99,7 @@
 			throw new OutcomeUnknownError('write row', storeName, 'the response was lost');
 		}
 
-		return {kind: 'written', revision: value === undefined ? 0 : this.#revision};
+		return {kind: 'written', revision: value === undefined ? 0 : this.#revision, era: this.#era};
 	}
 
 	#listRows(table: string): SharedRow[] {
--- a/packages/store/src/row-store.ts
+++ b/packages/store/src/row-store.ts
@@ -7,7 +7,7 @@
 	/** Content; undefined for a row that was removed. */
 	readonly value: string | undefined;
 
-	/** Revision of the store at the last write of the row. It increases with every transaction on any row. */
+	/** Revision of the store at the last write of the row. It increases with every transaction on any row, within an era of the store. */
 	readonly revision: number;
 };
 
@@ -17,14 +17,24 @@
 
 	/** Revision of the store when the rows were read, or when their reading began if it took several requests; the change feed continues from here. */
 	readonly revision: number;
+
+	/**
+	 * Era of the store that sent the page. It increases each time the store is
+	 * restored from a copy, which loses the writes since the copy and gives their
+	 * revisions out again. Revisions can only be compared within an era. A store
+	 * that doesn't tell its era stays in era 0.
+	 */
+	readonly era: number;
 };
 
-/** Outcome of a conditional write, with the current revision of the row; 0 if the row does not exist. */
-export type WriteOutcome
-	= | {readonly kind: 'written'; readonly revision: number}
-		| {readonly kind: 'conflict'; readonly revision: number};
+/** Outcome of a conditional write, with the current revision of the row, 0 if the row does not exist, and the era of the store. */
+export type WriteOutcome = {
+	readonly kind: 'written' | 'conflict';
+	readonly revision: number;
+	readonly era: number;
+};
 
-/** The store no longer keeps the changes since the requested revision, so the whole table has to be read again. */
+/** The store does not keep the changes since the requested revision, so the whole table has to be read again. */
 export class HistoryLostError extends Error {
 	override readonly name = 'HistoryLostError';
 }
@@ -38,7 +48,7 @@
 	 * Waits for changes of a table after a revision.
 	 *
 	 * @returns The changed rows, in the order of their revisions; none if the wait ended without a change.
-	 * @throws HistoryLostError if the store no longer keeps the changes since that revision.
+	 * @throws HistoryLostError if the store does not keep the changes since that revision, or never had it in its era.
 	 */
 	waitForChanges(table: string, after: number, signal: AbortSignal): Promise<RowPage>;
 
--- a/packages/store/src/table-follower.ts
+++ b/packages/store/src/table-follower.ts
@@ -1,6 +1,6 @@
 /** Follows the rows of one table through the change feed of the store. */
 import {type Clock} from '@ebonylead/base/base.js';
-import {describeError} from '@ebonylead/base/errors.js';
+import {StepError, describeError} from '@ebonylead/base/errors.js';
 import {type Logger} from '@ebonylead/base/logs.js';
 import {
 	HistoryLostError, type RowPage, type RowStore, type SharedRow,
@@ -16,18 +16,19 @@
 	/** Returns the minimum interval in milliseconds between two reads of changes; 0 by default. */
 	readonly getMinInterval?: () => number;
 
-	/** Called with the changed rows, or with all rows of the table if `isComplete` is true. */
-	readonly onRows: (rows: readonly SharedRow[], isComplete: boolean) => void;
+	/** Called with the changed rows, or with all rows of the table if `isComplete` is true. The first rows of an era of the store are complete; eras only increase. */
+	readonly onRows: (rows: readonly SharedRow[], isComplete: boolean, era: number) => void;
 };
 
 /** Backoff after a failed read. It doubles with each consecutive failure, from twice the base up to the maximum, so that a recovered store is read again within a second. */
 const backoffBaseMs = 50;
 const maxBackoffMs = 400;
 
-/** Reads a table, then follows its change feed; reads the whole table again when the store no longer keeps the changes since the last read. */
+/** Reads a table, then follows its change feed; reads the whole table again when the store no longer keeps the changes since the last read, or was restored from a copy. */
 export class TableFollower {
 	readonly #dependencies: TableFollowerDependencies;
 	#cursor: number | undefined;
+	#era: number | undefined;
 	#failures = 0;
 	#lastResponseAt = Number.NEGATIVE_INFINITY;
 
@@ -65,24 +66,45 @@
 		if (this.#cursor === undefined) {
 			const page = await store.readTable(table);
 			this.#recordResponse(page);
-			onRows(page.rows, true);
+			onRows(page.rows, true, page.era);
 			return;
 		}
 
+		const knownEra = this.#era;
 		const page = await store.waitForChanges(table, this.#cursor, signal);
 		this.#recordResponse(page);
+		if (page.era !== knownEra) {
+			// Its rows are those after a revision of the earlier era.
+			this.#cursor = undefined;
+			return;
+		}
+
 		if (page.rows.length > 0) {
-			onRows(page.rows, false);
+			onRows(page.rows, false, page.era);
 			// Each change completes the pending feed requests of all nodes. Waiting here bounds their rate; the changes made meanwhile arrive together in the next response.
 			await clock.sleep(getMinInterval?.() ?? 0, signal);
 		}
 	}
 
-	#recordResponse(page: RowPage): void {
-		this.#cursor = Math.max(page.revision, this.#cursor ?? 0);
-		this.#lastResponseAt = this.#dependencies.clock.now();
+	/** @throws StepError if the response is of an earlier era than another one before it. */
+	#recordResponse({revision, era}: RowPage): void {
+		const {table, clock, log} = this.#dependencies;
+		const knownEra = this.#era ?? era;
+		if (era < knownEra) {
+			throw new StepError('follow table', table, `the response is of era ${era}, the store is in era ${knownEra}`);
+		}
+
+		if (era > knownEra) {
+			log.warn({
+				table, revision, era, before: knownEra,
+			}, 'The store was restored from a copy');
+		}
+
+		this.#cursor = era === knownEra ? Math.max(revision, this.#cursor ?? 0) : revision;
+		this.#era = era;
+		this.#lastResponseAt = clock.now();
 		if (this.#failures > 0) {
-			this.#dependencies.log.info({table: this.#dependencies.table, revision: page.revision, failures: this.#failures}, 'The store answers again');
+			log.info({table, revision, failures: this.#failures}, 'The store answers again');
 			this.#failures = 0;
 		}
 	}
@@ -90,7 +112,7 @@
 	async #handleFailure(error: unknown, signal: AbortSignal): Promise<void> {
 		const {table, log, clock} = this.#dependencies;
 		if (error instanceof HistoryLostError) {
-			log.warn({table, revision: this.#cursor}, 'The store no longer keeps the history of this table; reading it anew');
+			log.warn({table, revision: this.#cursor}, 'The store does not have the history of this table; reading it anew');
 			this.#cursor = undefined;
 			return;
 		}
