--- a/packages/node/src/announcement-handler.ts
+++ b/packages/node/src/announcement-handler.ts
@@ -4,7 +4,8 @@
 import {AnnouncementOrder, type AnnouncementStamp} from '@ebonylead/upstreams/announcement-order.js';
 import {type LocalUpstream, type UpstreamStatus} from '@ebonylead/upstreams/local-upstream.js';
 import {type UpstreamAnnouncement} from '@ebonylead/upstreams/upstreams.js';
-import {type MemberDirectory, type RecordedUpstream} from './member-directory.js';
+import {type MemberDirectory} from './member-directory.js';
+import {type RecordedUpstream} from './member-row.js';
 
 /** An announcement with the stamp that orders it. */
 export type StampedAnnouncement = {
--- a/packages/node/src/member-directory.ts
+++ b/packages/node/src/member-directory.ts
@@ -1,13 +1,14 @@
 /** Synchronises the membership with a table of the store that holds one row for each node. */
 import {type Clock} from '@ebonylead/base/base.js';
-import {describeError} from '@ebonylead/base/errors.js';
+import {StepError, describeError} from '@ebonylead/base/errors.js';
 import {type Logger} from '@ebonylead/base/logs.js';
 import {MemberState, UpstreamState, type Member} from '@ebonylead/peers/generated/peers.js';
 import {type Membership} from '@ebonylead/peers/membership.js';
 import {type RowStore, type SharedRow} from '@ebonylead/store/row-store.js';
 import {TableFollower} from '@ebonylead/store/table-follower.js';
-import {type AnnouncementStamp} from '@ebonylead/upstreams/announcement-order.js';
-import {type UpstreamAnnouncement} from '@ebonylead/upstreams/upstreams.js';
+import {
+	buildIncarnation, decodeMember, decodeRecordedUpstream, encodeMember, type RecordedUpstream,
+} from './member-row.js';
 
 /** Dependencies of `MemberDirectory`. */
 export type MemberDirectoryDependencies = {
@@ -23,15 +24,6 @@
 	readonly onRestored: (member: Member | undefined, upstream: RecordedUpstream | undefined) => void;
 };
 
-/** The local upstream of a node as stored in its row, from which a later process of the node restores it. */
-export type RecordedUpstream = {
-	readonly announcement: UpstreamAnnouncement;
-	readonly stamp: AnnouncementStamp;
-};
-
-/** Content of a row. The row's key is the member's id, its revision the incarnation. */
-type MemberRow = Omit<Member, 'id' | 'incarnation'> & {readonly upstream?: RecordedUpstream};
-
 /** Name of the table of members. */
 export const memberTable = 'members';
 
@@ -41,6 +33,9 @@
 /** Upper bound of that interval. Until a change is read, a call may be sent to a node that refuses it, which costs a detour over another node but nothing of the retry budget. */
 const maxReadIntervalMs = 800;
 
+/** Time that nodes have to write their rows again after the store was restored from a copy: 2 s, and the longest wait of a follower before it reads them. A member whose row is still missing then has left. */
+const rewriteGraceMs = 2000 + maxReadIntervalMs;
+
 /** Backoff after a failed write. It doubles with each consecutive failure, from twice the base up to the maximum. */
 const backoffBaseMs = 50;
 const maxBackoffMs = 800;
@@ -51,7 +46,12 @@
  *
  * Each write is conditional on the revision that this node last saw, so that a
  * write whose response was lost can't overwrite a later one. A record's
- * incarnation is the revision of its row, which grows with each write.
+ * incarnation is built from the revision of its row, which grows with each
+ * write, and from the era of the store in which the row was written.
+ *
+ * A store that was restored from a copy has rows that are out of date, and lacks
+ * others. Those out of date don't supersede what is known, as they keep the era in
+ * which they were written. Each node writes its row again in the new era.
  */
 export class MemberDirectory {
 	readonly #dependencies: MemberDirectoryDependencies;
@@ -63,8 +63,17 @@
 	#isRestored = false;
 	#lastWritten: Member | undefined;
 
-	/** Revision of this node's row, on which the next write is conditional. */
+	/** Revision of this node's row, on which the next write is conditional, and the era of the store that has this revision. */
 	#revision = 0;
+	#era = 0;
+
+	/** Era of the rows that were last read. */
+	#readEra = 0;
+
+	/** Members whose rows are missing since the store was restored from a copy, and the monotonic time in milliseconds until which they are taken to be alive. */
+	#missing: Member[] = [];
+	#graceEndsAt = 0;
+	#signal: AbortSignal | undefined;
 	readonly #writeWaiters: Array<() => void> = [];
 	#wake: (() => void) | undefined;
 
@@ -77,8 +86,8 @@
 			clock: dependencies.clock,
 			log: dependencies.log,
 			getMinInterval: () => Math.min(maxReadIntervalMs, dependencies.membership.aliveCount * readIntervalPerMemberMs),
-			onRows: (rows, isComplete) => {
-				this.#mergeRows(rows, isComplete);
+			onRows: (rows, isComplete, era) => {
+				this.#mergeRows(rows, isComplete, era);
 			},
 		});
 	}
@@ -114,6 +123,7 @@
 
 	/** Follows the table and writes the row of this node until the signal is aborted. */
 	async run(signal: AbortSignal): Promise<void> {
+		this.#signal = signal;
 		await Promise.all([this.#follower.run(signal), this.#writeChanges(signal)]);
 	}
 
@@ -143,17 +153,26 @@
 
 	async #writeRecord(): Promise<void> {
 		const record = this.#self;
+		const era = this.#era;
 		const isRemoval = record.state === MemberState.LEFT && record.upstreamState !== UpstreamState.READY;
 		// A node that stops while its upstream is ready is expected to restart; its row is kept for the next process to restore.
-		const value = isRemoval ? undefined : encodeMember(record, this.#upstream);
+		const value = isRemoval ? undefined : encodeMember(record, this.#upstream, era);
 		const outcome = await this.#dependencies.store.writeRow(memberTable, record.id, value, this.#revision);
+		if (outcome.era < this.#era) {
+			throw new StepError('write row', memberTable, `the outcome is of era ${outcome.era}, the store is in era ${this.#era}`);
+		}
+
 		this.#revision = outcome.revision;
-		if (outcome.kind === 'conflict') {
+		this.#era = outcome.era;
+		// A row that names an earlier era would be taken for one of the copy from which the store was restored.
+		if (outcome.kind === 'conflict' || outcome.era > era) {
 			return;
 		}
 
 		this.#lastWritten = record;
-		this.#dependencies.log.info({service: record.service, upstreamState: record.upstreamState, revision: outcome.revision}, 'Wrote the record of this node');
+		this.#dependencies.log.info({
+			service: record.service, upstreamState: record.upstreamState, revision: outcome.revision, era,
+		}, 'Wrote the record of this node');
 		this.#mergeSelf();
 		if (this.#lastWritten === this.#self) {
 			for (const resolve of this.#writeWaiters.splice(0)) {
@@ -165,14 +184,18 @@
 	/** Keeps this node in the membership with its latest record, whatever the store holds. */
 	#mergeSelf(): void {
 		const known = this.#dependencies.membership.findMember(this.#self.id);
-		const incarnation = Math.max(this.#revision, (known?.incarnation ?? 0) + 1);
+		const incarnation = Math.max(buildIncarnation(this.#era, this.#revision), (known?.incarnation ?? 0) + 1);
 		this.#dependencies.membership.merge([{...this.#self, incarnation}], this.#dependencies.clock.now());
 	}
 
-	#mergeRows(rows: readonly SharedRow[], isComplete: boolean): void {
-		const {membership, clock, log} = this.#dependencies;
+	#mergeRows(rows: readonly SharedRow[], isComplete: boolean, era: number): void {
+		const {membership, log} = this.#dependencies;
+		const isNewEra = this.#isRestored && era > this.#readEra;
+		this.#readEra = era;
 		if (!this.#isRestored) {
-			this.#restore(rows);
+			this.#restore(rows, era);
+		} else if (isNewEra) {
+			this.#handleNewEra(rows, era);
 		}
 
 		const records: Member[] = [];
@@ -181,7 +204,7 @@
 				continue;
 			}
 
-			const record = decodeMember(row, membership.findMember(row.key));
+			const record = decodeMember(row, era, membership.findMember(row.key));
 			if (record === undefined) {
 				log.warn({key: row.key, revision: row.revision}, 'The record of a member is unreadable; keeping the last known one');
 			} else {
@@ -193,55 +216,73 @@
 			records.push(...this.#listRemoved(rows));
 		}
 
+		this.#mergeRecords(records);
+		if (isNewEra) {
+			void this.#removeMissing(era);
+		}
+	}
+
+	#mergeRecords(records: readonly Member[]): void {
+		const {membership, clock, log} = this.#dependencies;
 		for (const record of membership.merge(records, clock.now())) {
 			log.info({
-				member: record.id, service: record.service, upstreamState: record.upstreamState, state: record.state, revision: record.incarnation,
+				member: record.id, service: record.service, upstreamState: record.upstreamState, state: record.state, incarnation: record.incarnation,
 			}, 'A member changed');
 		}
 	}
 
 	/** Restores what an earlier process of this node stored in its row. Runs on the first rows read, before this process writes the row. */
-	#restore(rows: readonly SharedRow[]): void {
+	#restore(rows: readonly SharedRow[], era: number): void {
 		const row = rows.find(found => found.key === this.#self.id);
-		const member = row && decodeMember(row, undefined);
+		const member = row && decodeMember(row, era, undefined);
 		this.#revision = row?.revision ?? 0;
+		this.#era = era;
 		this.#isRestored = true;
-		this.#dependencies.onRestored(member, row && member && (JSON.parse(row.value!) as MemberRow).upstream);
+		this.#dependencies.onRestored(member, row && member && decodeRecordedUpstream(row.value!, era));
 		this.#wake?.();
 	}
 
-	/** Lists the alive members whose rows are missing from a complete read of the table, in state left. Their rows were removed while the change feed was not followed. */
-	#listRemoved(rows: readonly SharedRow[]): Member[] {
-		const keys = new Set(rows.map(row => row.key));
-		return this.#dependencies.membership.listAll()
-			.filter(member => member.id !== this.#self.id && member.state === MemberState.ALIVE && !keys.has(member.id))
-			.map(member => ({...member, state: MemberState.LEFT}));
+	/** Makes this node write its row again, on the condition of the revision that the restored store has for it. */
+	#handleNewEra(rows: readonly SharedRow[], era: number): void {
+		const {clock, log} = this.#dependencies;
+		this.#graceEndsAt = clock.now() + rewriteGraceMs;
+		// A write may have met the new era before.
+		if (era > this.#era) {
+			const revision = rows.find(found => found.key === this.#self.id)?.revision ?? 0;
+			log.info({era, before: this.#era, revision}, 'Writing the record of this node again, as the store is in a new era');
+			this.#era = era;
+			this.#revision = revision;
+			this.#lastWritten = undefined;
+			this.#wake?.();
+		}
 	}
-}
 
-/** Encodes a member record as the content of its row. */
-export function encodeMember(member: Member, upstream?: RecordedUpstream): string {
-	const {id: _id, incarnation: _incarnation, ...row} = member;
-	return JSON.stringify({...row, upstream});
-}
-
-/** Decodes a row to a member record. A removed row becomes the known record in state left. Returns undefined if the row is unreadable, or removed and unknown. */
-export function decodeMember(row: SharedRow, known: Member | undefined): Member | undefined {
-	if (row.value === undefined) {
-		return known && {...known, incarnation: row.revision, state: MemberState.LEFT};
+	/** Removes the members whose rows are still missing when their nodes had time to write them again. */
+	async #removeMissing(era: number): Promise<void> {
+		const {membership, clock} = this.#dependencies;
+		const signal = this.#signal!;
+		do {
+			await clock.sleep(rewriteGraceMs, signal);
+		} while (!signal.aborted && this.#follower.isUnavailable);
+
+		if (!signal.aborted && this.#readEra === era) {
+			// A record that was merged since has replaced the missing one.
+			const removed = this.#missing.filter(member => membership.findMember(member.id) === member);
+			this.#missing = [];
+			this.#mergeRecords(removed.map(member => ({...member, state: MemberState.LEFT})));
+		}
 	}
 
-	try {
-		const value = JSON.parse(row.value) as MemberRow;
-		const isRecord = typeof value.host === 'string' && typeof value.service === 'string'
-			&& Number.isSafeInteger(value.meshPort) && Number.isSafeInteger(value.slots);
-		if (!isRecord) {
-			return undefined;
+	/** Lists the alive members whose rows are missing from a complete read of the table, in state left. Their rows were removed while the change feed was not followed. */
+	#listRemoved(rows: readonly SharedRow[]): Member[] {
+		const keys = new Set(rows.map(row => row.key));
+		const missing = this.#dependencies.membership.listAll()
+			.filter(member => member.id !== this.#self.id && member.state === MemberState.ALIVE && !keys.has(member.id));
+		if (this.#dependencies.clock.now() < this.#graceEndsAt) {
+			this.#missing = missing;
+			return [];
 		}
 
-		const {upstream: _upstream, ...member} = value;
-		return {...member, id: row.key, incarnation: row.revision};
-	} catch {
-		return undefined;
+		return missing.map(member => ({...member, state: MemberState.LEFT}));
 	}
 }
--- a/packages/node/src/test/member-directory_test.ts
+++ b/packages/node/src/test/member-directory_test.ts
@@ -5,9 +5,8 @@
 import {describe, it} from '@ebonylead/stand-ins/describe.js';
 import {waitUntil} from '@ebonylead/stand-ins/wait-until.js';
 import {FakeRowStore} from '@ebonylead/stand-ins/fake-row-store.js';
-import {
-	encodeMember, MemberDirectory, memberTable, type RecordedUpstream,
-} from '../member-directory.js';
+import {MemberDirectory, memberTable} from '../member-directory.js';
+import {encodeMember, type RecordedUpstream} from '../member-row.js';
 
 const waitTimeoutMs = 5000;
 const self: Member = {
