--- a/packages/stand-ins/src/fake-row-store.ts
+++ b/packages/stand-ins/src/fake-row-store.ts
@@ -116,6 +116,7 @@
 		await new Promise<void>(resolve => {
 			const wake = () => {
 				this.#waiters.delete(wake);
+				signal.removeEventListener('abort', wake);
 				resolve();
 			};
 
