Add the plan and the ledger of a soak

Change: a plan that is drawn from a seed, and a ledger of what callers and upstreams see, which finds each promise that is broken. Neither knows the wire.

--- /dev/null
+++ b/packages/bench/src/soak-ledger.ts
@@ -0,0 +1,173 @@
+/** Records what callers and upstreams of a soak see, and finds the promises of the mesh that it breaks. */
+
+/** A request as its caller sent it. */
+export type SentRequest = {
+	readonly id: string;
+	readonly isIdempotent: boolean;
+
+	/** Time for which the caller waits, in milliseconds. */
+	readonly deadline: number;
+
+	/** VM and process that the caller sent it to. */
+	readonly process: string;
+};
+
+/** How a request ended for its caller. */
+export type RequestEnd
+	= | 'answered' // By an upstream, completely.
+		| 'refused' // With a status that promises that no upstream runs it.
+		| 'failed' // With another status of the node's own.
+		| 'closed'; // Without a complete response.
+
+/** Times between which something disturbed the fleet. */
+type Disturbance = {readonly from: number; to: number};
+
+type RequestRecord = SentRequest & {
+	readonly sentAt: number;
+	runCount: number;
+	end?: RequestEnd;
+};
+
+/** What a process showed of its version. */
+type VersionEvidence = {
+	/** Highest version that it is known to have had, and when that was known. */
+	version: number;
+	knownAt: number;
+};
+
+/** Time after a fault of a process for which it excuses requests that end. */
+const faultExcuseMs = 3000;
+
+/** Time within which a version must become active on every node. */
+const applyTimeoutMs = 2500;
+
+/** Time after which a request that was not run may no longer end without a response. */
+const lossSlackMs = 200;
+
+/** Time for requests that were on their way to an upstream when its leave was acknowledged. */
+const drainSlackMs = 500;
+
+/** Share of its deadline after which a request may be ended although an upstream is at work. */
+const deadlineShare = 0.7;
+
+/** Records the requests of a soak, and lists the promises that were broken. */
+export class SoakLedger {
+	/** Descriptions of the promises that were broken. */
+	readonly violations: string[] = [];
+
+	/** Number of requests by their end. */
+	readonly counts: Record<RequestEnd | 'sent', number> = {
+		sent: 0, answered: 0, refused: 0, failed: 0, closed: 0,
+	};
+
+	readonly #now: () => number;
+	readonly #requests = new Map<string, RequestRecord>();
+	readonly #faults: Disturbance[] = [];
+	readonly #storeFaults: Disturbance[] = [];
+	readonly #leftUpstreams = new Map<string, number>();
+	readonly #versions = new Map<string, VersionEvidence>();
+	readonly #writtenAt = new Map<number, number>();
+
+	/** @param now Returns monotonic time in milliseconds. */
+	constructor(now: () => number) {
+		this.#now = now;
+	}
+
+	recordSent(request: SentRequest): void {
+		this.counts.sent++;
+		this.#requests.set(request.id, {...request, sentAt: this.#now(), runCount: 0});
+	}
+
+	/** Records that an upstream began to run a request. */
+	recordRun(id: string, upstream: string): void {
+		const request = this.#requests.get(id);
+		if (request === undefined) {
+			this.recordViolation('unasked', `${upstream} runs ${id}, which no caller sent`);
+			return;
+		}
+
+		request.runCount++;
+		if (!request.isIdempotent && request.runCount > 1) {
+			this.recordViolation('at most once', `${id} runs ${request.runCount} times, now on ${upstream}`);
+		}
+
+		if (!request.isIdempotent && request.end === 'refused') {
+			this.recordViolation('true refusals', `${id} runs on ${upstream} after it was refused`);
+		}
+
+		const leftAt = this.#leftUpstreams.get(upstream);
+		if (leftAt !== undefined && this.#now() > leftAt + drainSlackMs) {
+			this.recordViolation('drains', `${id} reaches ${upstream} ${Math.round(this.#now() - leftAt)} ms after its leave was acknowledged`);
+		}
+	}
+
+	recordEnd(id: string, end: RequestEnd, detail: string): void {
+		const request = this.#requests.get(id)!;
+		const duration = this.#now() - request.sentAt;
+		request.end = end;
+		this.counts[end]++;
+		if (end === 'refused' && !request.isIdempotent && request.runCount > 0) {
+			this.recordViolation('true refusals', `${id} was refused, but has run: ${detail}`);
+		}
+
+		const isLost = end === 'closed' && (request.runCount > 0 || duration > lossSlackMs);
+		const isBrokenOff = end === 'failed' && request.runCount > 0 && duration < request.deadline * deadlineShare;
+		if ((isLost || isBrokenOff) && !this.#isExcused(this.#faults, request.sentAt)) {
+			this.recordViolation('planned work', `${id} at ${request.process} ended after ${Math.round(duration)} ms with ${request.runCount} runs: ${end}, ${detail}`);
+		}
+	}
+
+	/** Records that the caller gave a request up before it was sent. */
+	recordUnsent(id: string): void {
+		this.counts.sent--;
+		this.#requests.delete(id);
+	}
+
+	/** Records that a leaving upstream got its acknowledgement. */
+	recordLeave(upstream: string): void {
+		this.#leftUpstreams.set(upstream, this.#now());
+	}
+
+	/** Records that the operator wrote a version, unless it was written before. */
+	recordVersion(version: number): void {
+		if (!this.#writtenAt.has(version)) {
+			this.#writtenAt.set(version, this.#now());
+		}
+	}
+
+	/** Records that the response to a request showed that a process had at least or at most a version. */
+	recordVersionSeen(process: string, id: string, {atLeast, atMost}: {atLeast?: number; atMost?: number}): void {
+		const {sentAt} = this.#requests.get(id)!;
+		const known = this.#versions.get(process);
+		if (atMost !== undefined && known && sentAt > known.knownAt && atMost < known.version) {
+			this.recordViolation('versions', `${process} went back to ${atMost} or less from ${known.version}`);
+		}
+
+		const newer = atMost === undefined ? undefined : this.#writtenAt.get(atMost + 1);
+		if (newer !== undefined && sentAt > newer + applyTimeoutMs && !this.#isExcused([...this.#faults, ...this.#storeFaults], sentAt - applyTimeoutMs)) {
+			this.recordViolation('versions', `${process} has ${atMost} or less ${Math.round(sentAt - newer)} ms after ${atMost! + 1} was written`);
+		}
+
+		if (atLeast !== undefined && atLeast > (known?.version ?? 0)) {
+			this.#versions.set(process, {version: atLeast, knownAt: this.#now()});
+		}
+	}
+
+	/** Records the begin of a fault; the returned function records its end. */
+	recordFault(isOfStore: boolean): () => void {
+		const fault = {from: this.#now(), to: Number.POSITIVE_INFINITY};
+		(isOfStore ? this.#storeFaults : this.#faults).push(fault);
+		return () => {
+			fault.to = this.#now();
+		};
+	}
+
+	recordViolation(promise: string, detail: string): void {
+		this.violations.push(`${Math.round(this.#now())} ms, ${promise}: ${detail}`);
+	}
+
+	/** Returns whether a fault lasted, or had ended shortly before, at some time since the given one. */
+	#isExcused(faults: readonly Disturbance[], since: number): boolean {
+		return faults.some(fault => fault.to + faultExcuseMs >= since && fault.from <= this.#now());
+	}
+}
--- /dev/null
+++ b/packages/bench/src/soak-plan.ts
@@ -0,0 +1,111 @@
+/** Plans the disturbances of a soak from a seed. */
+import {chooseInteger, type Random} from '@ebonylead/base/base.js';
+import {SeededRandom} from '@ebonylead/base/random.js';
+
+/** Work that operators plan. It must not end a request that is in progress. */
+const plannedKinds = ['restart', 'reload', 'configuration', 'storm', 'replacement'] as const;
+
+/** Faults of processes. They may end requests. */
+const processFaults = ['kill', 'pause'] as const;
+
+/** Faults of the store and of the way to it. They excuse late configurations, but no lost request. */
+const storeFaults = [
+	'store-down', 'store-slow', 'store-loses-responses', 'store-applies-late', 'store-forgets-history', 'store-restored', 'store-refuses-some', 'store-resets-some', 'store-silent-for-some',
+] as const;
+
+/** Kind of a disturbance. */
+export type SoakEventKind = typeof plannedKinds[number] | typeof processFaults[number] | typeof storeFaults[number];
+
+/** A disturbance. */
+export type SoakEvent = {
+	/** Time since the start of the soak in milliseconds. */
+	readonly at: number;
+	readonly kind: SoakEventKind;
+
+	/** Index of the VM that it affects, if it affects one. */
+	readonly vm: number;
+
+	/** Duration in milliseconds, if it lasts. */
+	readonly duration: number;
+};
+
+/** Options of a plan. */
+export type SoakPlanOptions = {
+	readonly seed: number;
+	readonly duration: number;
+	readonly vmCount: number;
+
+	/** Whether faults are planned besides planned work. */
+	readonly hasFaults: boolean;
+};
+
+/** Time at the end without a disturbance, in which everything must recover. */
+const quietEndMs = 9000;
+
+/** Bounds of the time between two episodes. Some are shorter than a restart takes, so that episodes overlap. */
+const minEpisodeGapMs = 100;
+const maxEpisodeGapMs = 4000;
+
+/** Bounds of the time between two restarts of a series. */
+const minSeriesGapMs = 50;
+const maxSeriesGapMs = 1500;
+const minFaultMs = 200;
+const maxFaultMs = 3000;
+
+/** Share of the kinds of faults that a seed draws. */
+const faultShare = 0.4;
+
+/** Share of the episodes that are planned work if there are faults. */
+const plannedShare = 0.7;
+
+/** Plans the events of a soak, in the order of their times. */
+export function planSoak({seed, duration, vmCount, hasFaults}: SoakPlanOptions): SoakEvent[] {
+	const random = new SeededRandom(seed);
+	const faults = [...processFaults, ...storeFaults].filter(() => random.next() < faultShare);
+	const events: SoakEvent[] = [];
+	let at = 0;
+	for (;;) {
+		at += chooseBetween(random, minEpisodeGapMs, maxEpisodeGapMs);
+		if (at > duration - quietEndMs) {
+			return events.toSorted((left, right) => left.at - right.at);
+		}
+
+		const isFault = hasFaults && faults.length > 0 && random.next() > plannedShare;
+		const kind = chooseOne<SoakEventKind>(random, isFault ? faults : plannedKinds);
+		events.push(...planEpisode(random, kind, at, vmCount).filter(event => event.at <= duration - quietEndMs));
+	}
+}
+
+/** Returns whether a disturbance may end requests. */
+export function isProcessFault(kind: SoakEventKind): boolean {
+	return (processFaults as readonly string[]).includes(kind);
+}
+
+/** Returns whether a disturbance is planned work. */
+export function isPlanned(kind: SoakEventKind): boolean {
+	return (plannedKinds as readonly string[]).includes(kind);
+}
+
+/** Plans one event, or a series of restarts in the order of the VMs, in which the same VM may come twice. */
+function planEpisode(random: Random, kind: SoakEventKind, at: number, vmCount: number): SoakEvent[] {
+	const first = chooseInteger(random, vmCount);
+	const count = kind === 'restart' ? 1 + chooseInteger(random, Math.max(1, Math.floor(vmCount / 2))) : 1;
+	const events: SoakEvent[] = [];
+	let eventAt = at;
+	for (let index = 0; index < count; index++) {
+		events.push({
+			at: eventAt, kind, vm: (first + index) % vmCount, duration: chooseBetween(random, minFaultMs, maxFaultMs),
+		});
+		eventAt += chooseBetween(random, minSeriesGapMs, maxSeriesGapMs);
+	}
+
+	return events;
+}
+
+function chooseBetween(random: Random, min: number, max: number): number {
+	return Math.round(min + ((max - min) * random.next()));
+}
+
+function chooseOne<T>(random: Random, values: readonly T[]): T {
+	return values[chooseInteger(random, values.length)]!;
+}
--- /dev/null
+++ b/packages/bench/src/test/soak-ledger_test.ts
@@ -0,0 +1,138 @@
+import {describe, it} from '@ebonylead/stand-ins/describe.js';
+import {SoakLedger} from '../soak-ledger.js';
+import {isPlanned, planSoak} from '../soak-plan.js';
+
+type Fixture = {readonly ledger: SoakLedger; readonly send: (id: string, isIdempotent?: boolean) => void; readonly advance: (duration: number) => void};
+
+function createFixture(): Fixture {
+	let now = 10_000;
+	const ledger = new SoakLedger(() => now);
+	return {
+		ledger,
+		send(id, isIdempotent = false) {
+			ledger.recordSent({
+				id, isIdempotent, deadline: 4000, process: 'p',
+			});
+		},
+		advance(duration) {
+			now += duration;
+		},
+	};
+}
+
+describe('soak ledger', () => {
+	it('finds nothing where all promises are kept', t => {
+		const {ledger, send, advance} = createFixture();
+		send('a');
+		ledger.recordRun('a', 'u');
+		advance(100);
+		ledger.recordEnd('a', 'answered', '');
+		send('b');
+		ledger.recordEnd('b', 'refused', '');
+		send('c');
+		advance(100);
+		ledger.recordEnd('c', 'closed', '');
+		t.deepEqual(ledger.violations, []);
+	});
+
+	const breaches: Record<string, (fixture: Fixture) => void> = {
+		'a second run'({ledger, send}) {
+			send('a');
+			ledger.recordRun('a', 'u');
+			ledger.recordRun('a', 'v');
+		},
+		'a run that no caller asked for'({ledger}) {
+			ledger.recordRun('a', 'u');
+		},
+		'a run after a refusal'({ledger, send}) {
+			send('a');
+			ledger.recordEnd('a', 'refused', '');
+			ledger.recordRun('a', 'u');
+		},
+		'a refusal after a run'({ledger, send}) {
+			send('a');
+			ledger.recordRun('a', 'u');
+			ledger.recordEnd('a', 'refused', '');
+		},
+		'a closed connection while an upstream is at work'({ledger, send}) {
+			send('a', true);
+			ledger.recordRun('a', 'u');
+			ledger.recordEnd('a', 'closed', '');
+		},
+		'a connection that is closed late'({ledger, send, advance}) {
+			send('a', true);
+			advance(300);
+			ledger.recordEnd('a', 'closed', '');
+		},
+		'a failure while an upstream is at work and a fault of the store'({ledger, send}) {
+			ledger.recordFault(true);
+			send('a', true);
+			ledger.recordRun('a', 'u');
+			ledger.recordEnd('a', 'failed', '');
+		},
+		'a run after the leave of the upstream'({ledger, send, advance}) {
+			ledger.recordLeave('u');
+			advance(600);
+			send('a');
+			ledger.recordRun('a', 'u');
+		},
+		'a version that goes back'({ledger, send, advance}) {
+			send('a');
+			ledger.recordVersionSeen('p', 'a', {atLeast: 5});
+			advance(1);
+			send('b');
+			ledger.recordVersionSeen('p', 'b', {atMost: 4});
+		},
+		'a version that comes late'({ledger, send, advance}) {
+			ledger.recordVersion(5);
+			advance(2600);
+			send('a');
+			ledger.recordVersionSeen('p', 'a', {atMost: 4});
+		},
+	};
+	for (const [name, run] of Object.entries(breaches)) {
+		it(`finds ${name}`, t => {
+			const fixture = createFixture();
+			run(fixture);
+			t.is(fixture.ledger.violations.length, 1);
+		});
+	}
+
+	it('excuses lost requests during a fault of a process, and shortly after it', t => {
+		const {ledger, send, advance} = createFixture();
+		const end = ledger.recordFault(false);
+		for (const id of ['a', 'b']) {
+			send(id);
+			ledger.recordRun(id, 'u');
+			ledger.recordEnd(id, 'closed', '');
+			end();
+			advance(2000);
+		}
+
+		advance(2000);
+		t.deepEqual(ledger.violations, []);
+		send('c');
+		ledger.recordRun('c', 'u');
+		ledger.recordEnd('c', 'closed', '');
+		t.is(ledger.violations.length, 1);
+	});
+});
+
+describe('soak plan', () => {
+	it('is the same for the same seed, and ends before the end of the soak', t => {
+		const options = {
+			seed: 7, duration: 60_000, vmCount: 6, hasFaults: true,
+		};
+		t.deepEqual(planSoak(options), planSoak(options));
+		t.notDeepEqual(planSoak(options), planSoak({...options, seed: 8}));
+		t.true(planSoak(options).every(event => event.at <= 51_000 && event.vm < 6));
+	});
+
+	it('without faults has planned work alone', t => {
+		const plan = planSoak({
+			seed: 7, duration: 60_000, vmCount: 6, hasFaults: false,
+		});
+		t.true(plan.length > 0);
+		t.true(plan.every(event => isPlanned(event.kind)));
+	});
+});
