--- a/packages/bench/src/soak-ledger.ts
+++ b/packages/bench/src/soak-ledger.ts
@@ -60,6 +60,8 @@
 		sent: 0, answered: 0, refused: 0, failed: 0, closed: 0,
 	};
 
+	/** Number of requests that ended with a failure, a closed connection or a refusal, by its description without numbers. */
+	readonly failures = new Map<string, number>();
 	readonly #now: () => number;
 	readonly #requests = new Map<string, RequestRecord>();
 	readonly #faults: Disturbance[] = [];
@@ -106,6 +108,7 @@
 		const duration = this.#now() - request.sentAt;
 		request.end = end;
 		this.counts[end]++;
+		this.#countFailure(request, end, detail);
 		if (end === 'refused' && !request.isIdempotent && request.runCount > 0) {
 			this.recordViolation('true refusals', `${id} was refused, but has run: ${detail}`);
 		}
@@ -153,6 +156,13 @@
 		}
 	}
 
+	/** Records that a process that was told to stop did not stop cleanly. */
+	recordStop(process: string, detail: string): void {
+		if (!this.#isExcused(this.#faults, this.#now())) {
+			this.recordViolation('planned work', `${process} did not stop cleanly: ${detail}`);
+		}
+	}
+
 	/** Records the begin of a fault; the returned function records its end. */
 	recordFault(isOfStore: boolean): () => void {
 		const fault = {from: this.#now(), to: Number.POSITIVE_INFINITY};
@@ -166,6 +176,13 @@
 		this.violations.push(`${Math.round(this.#now())} ms, ${promise}: ${detail}`);
 	}
 
+	#countFailure({runCount}: RequestRecord, end: RequestEnd, detail: string): void {
+		if (end !== 'answered') {
+			const failure = `${end} after ${runCount} runs: ${detail.replaceAll(/\d+(?:\.\d+)*/gv, 'N')}`;
+			this.failures.set(failure, (this.failures.get(failure) ?? 0) + 1);
+		}
+	}
+
 	/** Returns whether a fault lasted, or had ended shortly before, at some time since the given one. */
 	#isExcused(faults: readonly Disturbance[], since: number): boolean {
 		return faults.some(fault => fault.to + faultExcuseMs >= since && fault.from <= this.#now());
--- a/packages/stand-ins/src/delay-relay.ts
+++ b/packages/stand-ins/src/delay-relay.ts
@@ -18,6 +18,8 @@
 
 /** Relays TCP connections, and delays their data in both directions. */
 export class DelayRelay {
+	/** Whether new connections are reset. */
+	isRefusing = false;
 	readonly #options: DelayRelayOptions;
 	readonly #servers: Server[] = [];
 	readonly #connections = new Set<RelayedConnection>();
@@ -36,6 +38,11 @@
 		const {ports, listenHost, targetHost, delay} = this.#options;
 		await Promise.all(ports.map(async port => {
 			const server = createServer({noDelay: true}, socket => {
+				if (this.isRefusing) {
+					socket.resetAndDestroy();
+					return;
+				}
+
 				const connection = new RelayedConnection(socket, connect({host: targetHost, port, noDelay: true}), delay);
 				this.#connections.add(connection);
 				connection.setCloseHandler(() => {
@@ -56,6 +63,13 @@
 		}
 	}
 
+	/** Resets the open connections. */
+	resetOpenConnections(): void {
+		for (const connection of this.#connections) {
+			connection.reset();
+		}
+	}
+
 	/** Stops listening and closes all connections. */
 	stop(): void {
 		for (const server of this.#servers) {
@@ -88,6 +102,11 @@
 		this.#handleClose = handle;
 	}
 
+	reset(): void {
+		this.#clientSocket.resetAndDestroy();
+		this.#targetSocket.resetAndDestroy();
+	}
+
 	destroy(): void {
 		this.#clientSocket.destroy();
 		this.#targetSocket.destroy();
