Keep a node whose connections are all in use

A call that waited for a connection for more than 150 ms and was cancelled ejected the node, also if all its 130 connections were in use and worked: then calls to a service with one upstream got "no upstream is ready". A node now counts as unreachable only if no response came since the call started and no connection is open.

A pool is replaced only if it is the one that the silent attempt used, so that each further probe does not close the connections of its successor.

Two log lines tell of a sidecar that does not respond to probes, and of an attempt that a probe ended.

--- a/packages/callers/src/attempt.ts
+++ b/packages/callers/src/attempt.ts
@@ -7,8 +7,11 @@
 import {forwardRequest, type ForwardResult, type ResponseHeaders} from '@ebonylead/upstreams/forward.js';
 import {type RequestBody} from '@ebonylead/upstreams/request-body.js';
 import {meshHeaders} from '@ebonylead/upstreams/upstreams.js';
+import {type Dispatcher} from 'undici';
 import {type SilentAttempt} from './attempt-prober.js';
-import {attemptVerdicts, chooseVerdict, type ProbeOutcome} from './attempt-verdict.js';
+import {
+	attemptVerdicts, chooseVerdict, type AttemptVerdict, type ProbeOutcome,
+} from './attempt-verdict.js';
 import {type CallerListenerDependencies} from './callers.js';
 
 /** Bounds in milliseconds of the time without a byte from the sidecar after which it is probed. */
@@ -63,6 +66,7 @@
 	readonly #dependencies: CallerListenerDependencies;
 	readonly #options: AttemptOptions;
 	readonly #cancellation = new Cancellation();
+	readonly #pool: Dispatcher;
 	readonly #startedAt: number;
 	#resolveSuspected: (() => void) | undefined;
 	#hasForwarded = false;
@@ -78,6 +82,8 @@
 	constructor(dependencies: CallerListenerDependencies, options: AttemptOptions) {
 		this.#dependencies = dependencies;
 		this.#options = options;
+		// The pool comes first, so that it counts as one that existed when the attempt started.
+		this.#pool = dependencies.pools.getPool(this.origin);
 		this.#startedAt = dependencies.clock.now();
 		this.suspected = new Promise(resolve => {
 			this.#resolveSuspected = resolve;
@@ -129,12 +135,12 @@
 
 			case attemptVerdicts.notReceived: {
 				this.#isNotReceived = true;
-				this.#end('the sidecar has not received the call');
+				this.#end(verdict, 'the sidecar has not received the call');
 				return;
 			}
 
 			case attemptVerdicts.lost: {
-				this.#end(`the sidecar sends no response to the call any more: ${describeOutcome(outcome)}`);
+				this.#end(verdict, `the sidecar sends no response to the call any more: ${describeOutcome(outcome)}`);
 			}
 		}
 	}
@@ -142,18 +148,18 @@
 	/** Describes the attempt and its end in one line, for the log. */
 	describe(result: AttemptResult): string {
 		const detail = 'error' in result ? describeError(result.error) : String('headers' in result ? result.headers[meshHeaders.reason] ?? result.status : result.reason);
-		const probes = this.#probes.map(({text, count}) => count === 1 ? text : `${text} (${count} times)`).join(', ');
+		const probes = this.#describeProbes();
 		const duration = Math.round(this.#dependencies.clock.now() - this.#startedAt);
 		return `${this.member.id} r${this.member.incarnation} ${result.kind} after ${duration} ms: ${detail}${probes === '' ? '' : `; probes: ${probes}`}`;
 	}
 
 	async #run(): Promise<AttemptResult> {
-		const {chooser, pools} = this.#dependencies;
+		const {chooser} = this.#dependencies;
 		const {member, method, path, headers, body, response, cancellation, timeLeft, isForwardable, buildExtraHeaders} = this.#options;
 		chooser.recordStart(member);
 		cancellation.addListener(this.#handleCallCancel);
 		const result = await forwardRequest({
-			dispatcher: pools.getPool(this.origin),
+			dispatcher: this.#pool,
 			origin: this.origin,
 			method,
 			path,
@@ -198,18 +204,34 @@
 			chooser.recordUnreachable(this.member);
 		}
 
-		if (!this.#hasForwarded) {
+		if (!this.#isSuspect) {
 			this.#isSuspect = true;
+			this.#recordDecision({}, 'A sidecar does not respond to probes');
+		}
+
+		if (!this.#hasForwarded) {
 			this.#resolveSuspected?.();
 		}
 	}
 
 	/** Ends the attempt on evidence: its connection no longer works. */
-	#end(reason: string): void {
+	#end(verdict: AttemptVerdict, reason: string): void {
+		this.#recordDecision({verdict}, 'Ended an attempt at a silent sidecar');
 		this.#dependencies.pools.closeIfUnresponsive(this.origin, this.#startedAt);
 		this.#cancellation.cancel(new Error(reason));
 	}
 
+	#describeProbes(): string {
+		return this.#probes.map(({text, count}) => count === 1 ? text : `${text} (${count} times)`).join(', ');
+	}
+
+	#recordDecision(inputs: Readonly<Record<string, unknown>>, message: string): void {
+		const {clock, decisionLog} = this.#dependencies;
+		decisionLog.record({
+			id: this.#options.headers[meshHeaders.requestId], asked: this.member.id, age: Math.round(clock.now() - this.#startedAt), probes: this.#describeProbes(), ...inputs,
+		}, message);
+	}
+
 	#recordProbe(outcome: ProbeOutcome): void {
 		const text = describeOutcome(outcome);
 		const last = this.#probes.at(-1);
@@ -228,7 +250,8 @@
 		const isInconclusive = isCallCancelled || this.#isSuperseded;
 		const load = 'headers' in result ? Number(result.headers[meshHeaders.load]) : undefined;
 		chooser.recordEnd(this.member, isLost && !this.#isNotReceived && (this.#isSuspect || !isInconclusive), load);
-		if (result.kind === 'unsent' && (!isInconclusive || age > unreachableAfterMs)) {
+		const isTimeEnough = !isInconclusive || age > unreachableAfterMs;
+		if (result.kind === 'unsent' && isTimeEnough && !pools.hasBeenReachable(this.origin, this.#startedAt)) {
 			chooser.recordUnreachable(this.member);
 		}
 
--- a/packages/callers/src/mesh-pools.ts
+++ b/packages/callers/src/mesh-pools.ts
@@ -17,6 +17,7 @@
 
 type PoolEntry = {
 	readonly pool: Pool;
+	readonly createdAt: number;
 	usedAt: number;
 	respondedAt: number;
 };
@@ -55,7 +56,10 @@
 			keepAliveMaxTimeout: keepAliveTimeoutMs,
 			connect: {timeout: connectTimeoutMs},
 		});
-		this.#entries.set(origin, {pool, usedAt: this.#clock.now(), respondedAt: Number.NEGATIVE_INFINITY});
+		const now = this.#clock.now();
+		this.#entries.set(origin, {
+			pool, createdAt: now, usedAt: now, respondedAt: Number.NEGATIVE_INFINITY,
+		});
 		return pool;
 	}
 
@@ -67,8 +71,14 @@
 		}
 	}
 
+	/** Returns whether a sidecar could be reached at some time since a given one: a response arrived, or a connection is open. */
+	hasBeenReachable(origin: string, since: number): boolean {
+		const entry = this.#entries.get(origin);
+		return entry !== undefined && (entry.respondedAt >= since || entry.pool.stats.connected > 0);
+	}
+
 	/**
-	 * Removes the pool of a sidecar if no response has arrived on it since a given time.
+	 * Removes the pool of a sidecar if it existed at a given time, and no response has arrived on it since.
 	 *
 	 * If one connection is unresponsive, the others may be as well: a device on
 	 * the network path may have lost the state of all of them. The next call
@@ -79,7 +89,7 @@
 	 */
 	closeIfUnresponsive(origin: string, since: number): boolean {
 		const entry = this.#entries.get(origin);
-		if (entry === undefined || entry.respondedAt > since) {
+		if (entry === undefined || entry.createdAt > since || entry.respondedAt > since) {
 			return false;
 		}
 
--- a/packages/callers/src/test/call-helpers.ts
+++ b/packages/callers/src/test/call-helpers.ts
@@ -12,6 +12,8 @@
 	'POST a.example/** -> s once deadline 2s # A',
 	'POST a.example/quick -> s once deadline 1s # A',
 	'POST a.example/large -> s once deadline 30s # A',
+	'GET a.example/patient -> s deadline 10s # A',
+	'POST a.example/patient -> s once deadline 10s # A',
 	'GET a.example/narrow -> s slots 1 deadline 300ms # A',
 ];
 
--- a/packages/callers/src/test/faulty-call_test.ts
+++ b/packages/callers/src/test/faulty-call_test.ts
@@ -51,6 +51,34 @@
 		});
 	});
 
+	describe('that wait for a connection', () => {
+		it('do not make a node count as unreachable if all its connections are in use', async t => {
+			await withHarness(async harness => {
+				const held: Array<() => void> = [];
+				const vm = await harness.addVm((_request, response) => {
+					held.push(() => {
+						response.end('good');
+					});
+				}, {slots: 200});
+				const connectionCount = 130;
+				const pending = Array.from({length: connectionCount}, async () => call(harness, 'GET', '/x'));
+				await waitUntil(() => vm.localUpstream.admission.running === connectionCount);
+				const refused = await call(harness, 'GET', '/x', {headers: {'x-ebonylead-deadline': '300'}});
+				t.is(refused.outcome, 'not-run');
+				const last = call(harness, 'GET', '/x');
+				while (held.length > 0 || vm.localUpstream.admission.running > 0) {
+					held.pop()?.();
+					await new Promise<void>(resolve => {
+						setImmediate(resolve);
+					});
+				}
+
+				t.like(await last, {status: 200, body: 'good'});
+				await Promise.all(pending);
+			});
+		});
+	});
+
 	describe('crashing requests', () => {
 		/** Adds upstreams that crash on one body as a process does: all connections close and no new one is accepted. */
 		async function addCrashingPlaces(harness: MeshHarness, count: number): Promise<() => number> {
--- a/packages/callers/src/test/mesh-pools_test.ts
+++ b/packages/callers/src/test/mesh-pools_test.ts
@@ -17,6 +17,18 @@
 			await pools.close();
 		});
 
+		it('and keep a pool that was created after that time, whose connections are others', async t => {
+			const clock = new FakeClock();
+			const pools = new MeshPools(clock);
+			pools.getPool(origin);
+			await clock.advance(100);
+			t.true(pools.closeIfUnresponsive(origin, 50));
+			const pool = pools.getPool(origin);
+			t.false(pools.closeIfUnresponsive(origin, 50));
+			t.is(pools.getPool(origin), pool);
+			await pools.close();
+		});
+
 		it('and keep a pool on which one arrived', async t => {
 			const clock = new FakeClock();
 			const pools = new MeshPools(clock);
