Probe long calls less often

Each probe costs a connection, and a call of two seconds at a sound sidecar was probed every 300 ms.

--- a/packages/callers/src/attempt.ts
+++ b/packages/callers/src/attempt.ts
@@ -15,11 +15,11 @@
 import {type CallerListenerDependencies} from './callers.js';
 
 /** Bounds in milliseconds of the time without a byte from the sidecar after which it is probed. */
-const minSilenceMs = 200;
-const maxSilenceMs = 500;
+const minSilenceMs = 300;
+const maxSilenceMs = 600;
 
 /** That time as a share of the time that the attempt has, before the bounds apply. */
-const silenceShare = 0.25;
+const silenceShare = 0.4;
 
 /** Time in milliseconds without a connection after which a node counts as unreachable, even if the call was cancelled in the meantime. */
 const unreachableAfterMs = 150;
--- a/packages/callers/src/test/attempt-prober_test.ts
+++ b/packages/callers/src/test/attempt-prober_test.ts
@@ -50,6 +50,15 @@
 		t.deepEqual(attempts.map(({count}) => count), [2, 1, 1]);
 	});
 
+	it('asks less and less often while the sidecar has the call', async t => {
+		const clock = new FakeClock();
+		const probe = new RecordingProbe(clock, 0);
+		const prober = new AttemptProber(probe, clock);
+		prober.add(createAttempt('1'));
+		await clock.advance(10_000);
+		t.true(probe.sent.length >= 7 && probe.sent.length <= 11, `${probe.sent.length} probes in 10 s`);
+	});
+
 	it('stops when no attempt is silent, and starts again', async t => {
 		const clock = new FakeClock();
 		const probe = new RecordingProbe(clock, 100);
