Let the second reader of a data centre stand by

Both readers of a data centre read each version from the store, 156 kB, and waited for changes twice a second each. The second one now follows the first, shares its followers, and reads once the last word from the store is older than a second. A word carries the node that got it from the store, so that a word that returns to that node over others does not count.

--- a/packages/node/src/feed-follower.ts
+++ b/packages/node/src/feed-follower.ts
@@ -3,11 +3,13 @@
 import {describeError} from '@ebonylead/base/errors.js';
 import {type AcceptedRules} from '@ebonylead/rules/rule-source.js';
 import {type FeedTransport} from './feed-transport.js';
-import {type FeedLine} from './rules-feed.js';
+import {type FeedLine, type Freshness} from './rules-feed.js';
 import {type RulesHistory} from './rules-history.js';
 
 /** Dependencies of `FeedFollower`. */
 export type FeedFollowerDependencies = {
+	/** Identity of this node. */
+	readonly id: string;
 	readonly transport: FeedTransport;
 	readonly history: RulesHistory;
 	readonly clock: Clock;
@@ -29,7 +31,7 @@
 	#origin: string | undefined;
 	#startedAt = Number.NEGATIVE_INFINITY;
 	#lastBytesAt = Number.NEGATIVE_INFINITY;
-	#freshUntil = Number.NEGATIVE_INFINITY;
+	#freshness: Freshness = {until: Number.NEGATIVE_INFINITY, reader: ''};
 	#hasLine = false;
 
 	/** Whether the next feed must send all rules, as an update could not be applied. */
@@ -59,9 +61,9 @@
 		return this.#hasLine;
 	}
 
-	/** Monotonic time until which the last word from the store that a feed delivered counts as fresh. */
-	get freshUntil(): number {
-		return this.#freshUntil;
+	/** Freshness of the last word from the store that a feed delivered. */
+	get freshness(): Freshness {
+		return this.#freshness;
 	}
 
 	/** Ends the current feed, if any, and follows the feed of another node. */
@@ -116,8 +118,12 @@
 		}
 	}
 
-	#handleLine({version, freshFor, update}: FeedLine): void {
-		const {history, onRules, onLine} = this.#dependencies;
+	#handleLine({
+		version, freshFor, reader, update,
+	}: FeedLine): void {
+		const {
+			id, history, onRules, onLine,
+		} = this.#dependencies;
 		if (update !== undefined && version > history.version) {
 			this.#needsWhole = true;
 			onRules(history.decodeUpdate(update));
@@ -125,7 +131,12 @@
 		}
 
 		this.#hasLine = true;
-		this.#freshUntil = Math.max(this.#freshUntil, this.#lastBytesAt + freshFor);
+		const until = this.#lastBytesAt + freshFor;
+		// A word that this node got itself, and that returns over other nodes, tells nothing.
+		if (reader !== id && until > this.#freshness.until) {
+			this.#freshness = {until, reader};
+		}
+
 		onLine();
 	}
 }
--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -86,7 +86,7 @@
 const responseFlushMs = 150;
 const drainPollIntervalMs = 20;
 
-/** Number of nodes in each data centre that read the rules from the store for the others; two, so that one may fail. */
+/** Number of readers in each data centre: one reads the rules from the store for the others, one stands by. */
 const readerCount = 2;
 
 /** Exclusive upper bound of the random `instance` of a member: an unsigned 32-bit number, as in the messages between peers. */
@@ -153,7 +153,7 @@
 			},
 		});
 		this.#rulesSync = this.#createRulesSync();
-		this.#rulesFeed = new RulesFeed({history: this.#history, clock, getFreshUntil: () => this.#rulesSync.freshUntil});
+		this.#rulesFeed = new RulesFeed({history: this.#history, clock, getFreshness: () => this.#rulesSync.freshness});
 		this.#stateFetcher = new PeerStateFetcher({
 			self: this.#directory.self,
 			seedHosts: settings.seedHosts,
@@ -263,6 +263,7 @@
 		const clock = this.#clock;
 		const random = this.#random;
 		return new RulesSync({
+			id: settings.id,
 			source: ruleSource,
 			transport: new HttpFeedTransport(),
 			history: this.#history,
--- a/packages/node/src/reader-ranking.ts
+++ b/packages/node/src/reader-ranking.ts
@@ -13,7 +13,7 @@
 	readonly clock: Clock;
 	readonly random: Random;
 
-	/** Number of readers in each data centre. */
+	/** Number of readers in each data centre. The first one reads the store, the others follow it, share its followers and stand by. */
 	readonly readerCount: number;
 };
 
@@ -37,10 +37,14 @@
 		this.#dependencies = dependencies;
 	}
 
-	/** Whether this node is a reader of its data centre. */
+	/** Whether this node is the first reader of its data centre. */
 	get isReader(): boolean {
-		const {id, dataCentre} = this.#dependencies;
-		return this.#listReaders(dataCentre).some(member => member.id === id);
+		return this.#rank === 0;
+	}
+
+	/** Whether this node is another reader of its data centre, which stands by. */
+	get isStandby(): boolean {
+		return this.#rank > 0;
 	}
 
 	/** Lists the origins of the other readers of this node's data centre, in the order in which this node prefers them. */
@@ -68,6 +72,11 @@
 		this.#suspensions.delete(origin);
 	}
 
+	get #rank(): number {
+		const {id, dataCentre} = this.#dependencies;
+		return this.#listReaders(dataCentre).findIndex(member => member.id === id);
+	}
+
 	#listReaders(dataCentre: string): Member[] {
 		const {id, readerCount} = this.#dependencies;
 		const usable = this.#listRanked(dataCentre).filter(member => member.id === id || !this.#isSuspended(getOrigin(member)));
--- a/packages/node/src/rules-feed.ts
+++ b/packages/node/src/rules-feed.ts
@@ -9,21 +9,30 @@
 
 	/** Time in milliseconds for which the sending node's last word from the store still counts as fresh; 0 if it does not. */
 	readonly freshFor: number;
+
+	/** Identity of the node that got this word from the store. */
+	readonly reader: string;
 	readonly update?: RulesUpdate;
 };
 
+/** A word from the store: until which monotonic time it counts as fresh, and the identity of the node that got it. */
+export type Freshness = {readonly until: number; readonly reader: string};
+
 /** Dependencies of `RulesFeed`. */
 export type RulesFeedDependencies = {
 	readonly history: RulesHistory;
 	readonly clock: Clock;
 
-	/** Returns the monotonic time until which the last word from the store counts as fresh. */
-	readonly getFreshUntil: () => number;
+	/** Returns the freshness of the last word from the store. */
+	readonly getFreshness: () => Freshness;
 };
 
-/** Interval between two lines; a follower takes another node after about two missing ones. */
+/** Longest interval between two lines; a follower takes another node after about two missing ones. */
 const lineIntervalMs = 300;
 
+/** Interval at which a new word from the store is looked for, which is told at once. */
+const pollIntervalMs = 100;
+
 /** A node that follows this one. */
 type FeedReceiver = {
 	readonly output: Writable;
@@ -40,6 +49,10 @@
 	readonly #dependencies: RulesFeedDependencies;
 	readonly #receivers = new Set<FeedReceiver>();
 
+	/** Time of the last line to all receivers, and the freshness that it told. */
+	#sentAt = Number.NEGATIVE_INFINITY;
+	#sentUntil = Number.NEGATIVE_INFINITY;
+
 	constructor(dependencies: RulesFeedDependencies) {
 		this.#dependencies = dependencies;
 	}
@@ -70,6 +83,8 @@
 
 	/** Sends a line to all receivers, as there is a new version. */
 	sendToAll(): void {
+		this.#sentAt = this.#dependencies.clock.now();
+		this.#sentUntil = this.#dependencies.getFreshness().until;
 		for (const receiver of this.#receivers) {
 			this.#send(receiver);
 		}
@@ -77,9 +92,12 @@
 
 	/** Sends lines until the signal is aborted. */
 	async run(signal: AbortSignal): Promise<void> {
+		const {clock, getFreshness} = this.#dependencies;
 		while (!signal.aborted) {
-			await this.#dependencies.clock.sleep(lineIntervalMs, signal);
-			this.sendToAll();
+			await clock.sleep(pollIntervalMs, signal);
+			if (getFreshness().until > this.#sentUntil || clock.now() - this.#sentAt >= lineIntervalMs) {
+				this.sendToAll();
+			}
 		}
 
 		for (const {output} of this.#receivers) {
@@ -92,14 +110,15 @@
 			return;
 		}
 
-		const {history, clock, getFreshUntil} = this.#dependencies;
-		const freshFor = Math.max(0, Math.round(getFreshUntil() - clock.now()));
+		const {history, clock, getFreshness} = this.#dependencies;
+		const {until, reader} = getFreshness();
+		const freshFor = Math.max(0, Math.round(until - clock.now()));
 		const update = history.encodeUpdate(receiver.versions);
 		const end = update === undefined ? '}' : `,"update":${update}}`;
 		if (update !== undefined) {
 			receiver.versions = [history.version];
 		}
 
-		receiver.isBlocked = !receiver.output.write(`{"version":${history.version},"freshFor":${freshFor}${end}\n`);
+		receiver.isBlocked = !receiver.output.write(`{"version":${history.version},"freshFor":${freshFor},"reader":${JSON.stringify(reader)}${end}\n`);
 	}
 }
--- a/packages/node/src/rules-sync.ts
+++ b/packages/node/src/rules-sync.ts
@@ -5,11 +5,14 @@
 import {FeedFollower} from './feed-follower.js';
 import {type FeedTransport} from './feed-transport.js';
 import {type ReaderRanking} from './reader-ranking.js';
+import {type Freshness} from './rules-feed.js';
 import {type RulesHistory} from './rules-history.js';
 import {StoreReading} from './store-reading.js';
 
 /** Dependencies of `RulesSync`. */
 export type RulesSyncDependencies = {
+	/** Identity of this node. */
+	readonly id: string;
 	readonly source: RuleSource;
 	readonly transport: FeedTransport;
 	readonly history: RulesHistory;
@@ -31,6 +34,9 @@
 /** Time after the last bytes of a feed from which on its node counts as failed; two missing lines. */
 const silenceTimeoutMs = 700;
 
+/** Rest of the freshness below which a reader that stands by reads the store, so that its followers need not leave it. */
+const takeoverMs = 200;
+
 /** Time for which a node is followed without a fresh word from the store, as it may just have become a reader and still read its first response. */
 const catchUpTimeoutMs = 400;
 
@@ -61,10 +67,13 @@
 	#nextAttemptAt = 0;
 
 	constructor(dependencies: RulesSyncDependencies) {
-		const {source, transport, history, clock, onRules} = dependencies;
+		const {
+			id, source, transport, history, clock, onRules,
+		} = dependencies;
 		this.#dependencies = dependencies;
 		this.#reading = new StoreReading(source, onRules);
 		this.#follower = new FeedFollower({
+			id,
 			transport,
 			history,
 			clock,
@@ -84,9 +93,11 @@
 		return this.#reading.isActive && this.#dependencies.source.isUnavailable;
 	}
 
-	/** Monotonic time until which this node's last word from the store counts as fresh, whether it came directly or by another node. */
-	get freshUntil(): number {
-		return Math.max(this.#dependencies.source.freshUntil, this.#follower.freshUntil);
+	/** Freshness of this node's last word from the store, whether it came directly or by another node. */
+	get freshness(): Freshness {
+		const {id, source} = this.#dependencies;
+		const {freshness} = this.#follower;
+		return source.freshUntil >= freshness.until ? {until: source.freshUntil, reader: id} : freshness;
 	}
 
 	/** Keeps the rules current until the signal is aborted. */
@@ -102,7 +113,7 @@
 	}
 
 	get #isReaderFresh(): boolean {
-		return this.#dependencies.clock.now() < this.#follower.freshUntil;
+		return this.#dependencies.clock.now() < this.#follower.freshness.until;
 	}
 
 	get #isStoreFresh(): boolean {
@@ -186,8 +197,11 @@
 	}
 
 	#chooseReading(isReader: boolean): void {
-		const {clock, random, history, log} = this.#dependencies;
-		if (this.#isReaderFresh && !isReader && history.version > 0) {
+		const {
+			clock, random, history, log, ranking,
+		} = this.#dependencies;
+		const mustTakeOver = ranking.isStandby && this.#follower.freshness.until - clock.now() < takeoverMs;
+		if (this.#isReaderFresh && !isReader && !mustTakeOver && history.version > 0) {
 			this.#fallbackAt = undefined;
 			if (this.#reading.isActive) {
 				log.info({origin: this.#follower.origin, version: history.version}, 'Stopped reading the store');
@@ -198,7 +212,7 @@
 		}
 
 		this.#fallbackAt ??= clock.now() + minFallbackDelayMs + ((maxFallbackDelayMs - minFallbackDelayMs) * random.next());
-		const mustRead = isReader || history.version === 0 || clock.now() >= this.#fallbackAt;
+		const mustRead = isReader || mustTakeOver || history.version === 0 || clock.now() >= this.#fallbackAt;
 		if (mustRead && !this.#reading.isActive) {
 			log.info({isReader, version: history.version}, 'Reading the store');
 			this.#reading.start();
