--- a/packages/node/src/rules-sync.ts
+++ b/packages/node/src/rules-sync.ts
@@ -60,7 +60,7 @@
 
 	/** Monotonic time from which on this node reads the store unless a reader is fresh; undefined while one is. */
 	#fallbackAt: number | undefined;
-	#wasReader = false;
+	#role = 'follower';
 
 	/** Number of consecutive feeds that did not help, and the monotonic time of the next attempt. */
 	#failures = 0;
@@ -123,10 +123,11 @@
 
 	#update(): void {
 		const {ranking, log} = this.#dependencies;
-		const {isReader} = ranking;
-		if (isReader !== this.#wasReader) {
-			this.#wasReader = isReader;
-			log.info({isReader}, isReader ? 'Became a reader of the store' : 'No longer a reader of the store');
+		const {isReader, isStandby} = ranking;
+		const role = isReader ? 'reader' : (isStandby ? 'standby' : 'follower');
+		if (role !== this.#role) {
+			log.info({before: this.#role, role}, 'Changed the role in the data centre');
+			this.#role = role;
 		}
 
 		this.#stopFailedFeed();
