--- a/packages/upstreams/src/mesh-listener.ts
+++ b/packages/upstreams/src/mesh-listener.ts
@@ -138,17 +138,6 @@
 		}
 	}
 
-	#handleAttemptProbe(url: string, response: ServerResponse): void {
-		const ids = parseProbePath(url);
-		if (ids === undefined) {
-			sendJson(response, statusBadRequest, {});
-			return;
-		}
-
-		const states: AttemptProbeResponse = {knownFor: this.#attempts.knownFor, states: ids.map(id => this.#attempts.probe(id))};
-		sendJson(response, statusOk, states);
-	}
-
 	/** Answers a request for the state or the feed of this node; returns false for any other request. */
 	#serveState(request: IncomingMessage, response: ServerResponse): boolean {
 		const {getState, openFeed} = this.#dependencies;
@@ -170,6 +159,17 @@
 		return true;
 	}
 
+	#handleAttemptProbe(url: string, response: ServerResponse): void {
+		const ids = parseProbePath(url);
+		if (ids === undefined) {
+			sendJson(response, statusBadRequest, {});
+			return;
+		}
+
+		const states: AttemptProbeResponse = {knownFor: this.#attempts.knownFor, states: ids.map(id => this.#attempts.probe(id))};
+		sendJson(response, statusOk, states);
+	}
+
 	/** Exchanges the active versions with the entry node on each call, so that a node without access to the store still learns of later versions. */
 	#syncVersions(request: IncomingMessage, response: ServerResponse): void {
 		const {getVersion, onVersion} = this.#dependencies;
@@ -185,14 +185,14 @@
 	}
 }
 
-function sendJson(response: ServerResponse, status: number, value: unknown): void {
-	const body = JSON.stringify(value);
-	response.writeHead(status, {'content-type': 'application/json', 'content-length': Buffer.byteLength(body)}).end(body);
-}
-
 function sendState(request: IncomingMessage, response: ServerResponse, state: string): void {
 	const plain = Buffer.from(state);
 	const isCompressed = plain.length >= minCompressedBytes && request.headers['accept-encoding'] === 'gzip';
 	const body = isCompressed ? gzipSync(plain, {level: compressionLevel}) : plain;
 	response.writeHead(statusOk, {'content-type': 'application/json', 'content-length': body.length, ...(isCompressed && {'content-encoding': 'gzip'})}).end(body);
 }
+
+function sendJson(response: ServerResponse, status: number, value: unknown): void {
+	const body = JSON.stringify(value);
+	response.writeHead(status, {'content-type': 'application/json', 'content-length': Buffer.byteLength(body)}).end(body);
+}
