Decode configurations and build route tables in slices

The version is reported with its finished table, so that the swap is still one assignment. Rules that come from a peer are still applied in one go. JSON.parse of the row remains one piece: it is the longest slice below.

--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -16,6 +16,7 @@
 import {MemberState, UpstreamState, type Member} from '@ebonylead/peers/generated/peers.js';
 import {Membership} from '@ebonylead/peers/membership.js';
 import {ActiveVersion} from '@ebonylead/rules/active-version.js';
+import {type RouteTable} from '@ebonylead/rules/route-table.js';
 import {type AcceptedRules, type RuleSource} from '@ebonylead/rules/rule-source.js';
 import {type RowStore} from '@ebonylead/store/row-store.js';
 import {CrashDetector} from '@ebonylead/upstreams/crash-detector.js';
@@ -185,8 +186,8 @@
 		const {signal} = this.#controller;
 		await this.#meshListener.listen(settings.host, settings.meshPort);
 		await this.#callerListener.listen(settings.host, settings.callerPort);
-		this.#runTask('rules', ruleSource.run(signal, rules => {
-			this.#applyRules(rules);
+		this.#runTask('rules', ruleSource.run(signal, (rules, routeTable) => {
+			this.#applyRules(rules, routeTable);
 		}));
 		this.#runTask('members', this.#directory.run(signal));
 		this.#runTask('peers', this.#stateFetcher.run(signal));
@@ -257,10 +258,10 @@
 		}
 	}
 
-	#applyRules(rules: AcceptedRules): void {
+	#applyRules(rules: AcceptedRules, routeTable?: RouteTable): void {
 		const {snapshot, limits} = rules;
 		const before = this.#activeVersion.version;
-		if (!this.#activeVersion.applySnapshot(snapshot)) {
+		if (!this.#activeVersion.applySnapshot(snapshot, routeTable)) {
 			return;
 		}
 
--- a/packages/rules/src/active-version.ts
+++ b/packages/rules/src/active-version.ts
@@ -68,15 +68,16 @@
 	 * a delta or encoding the snapshot. For nodes that read versions from a shared
 	 * store, as they send neither deltas nor snapshots to other nodes.
 	 *
+	 * @param routeTable The routes of the snapshot, if they are built already.
 	 * @returns Whether the snapshot became active.
 	 */
-	applySnapshot(snapshot: Snapshot): boolean {
+	applySnapshot(snapshot: Snapshot, routeTable?: RouteTable): boolean {
 		if (snapshot.version <= this.version) {
 			return false;
 		}
 
 		this.#deltas = [];
-		this.#cell.set({encoded: new LazySnapshot(snapshot), routeTable: new RouteTable(snapshot, this.#cell.value.routeTable), activatedAt: Date.now()});
+		this.#cell.set({encoded: new LazySnapshot(snapshot), routeTable: routeTable ?? new RouteTable(snapshot, this.#cell.value.routeTable), activatedAt: Date.now()});
 		return true;
 	}
 
--- a/packages/rules/src/host-routes.ts
+++ b/packages/rules/src/host-routes.ts
@@ -1,4 +1,5 @@
 /** The routes of one host. */
+import {elementsPerStep, type Steps} from '@ebonylead/base/steps.js';
 import {
 	compareRoutes, findMismatch, getRoute, type RequestHead, type Route,
 } from './route.js';
@@ -6,6 +7,20 @@
 
 /** The routes of one host, found by the literal beginning of their path, so that a search does not grow with their number. */
 export class HostRoutes {
+	/** Builds the routes of a host from its rules, which are in the order of the snapshot. */
+	static * buildInSteps(rules: readonly Rule[]): Steps<HostRoutes> {
+		const host = new HostRoutes(rules);
+		for (const [index, rule] of rules.entries()) {
+			host.#addRoute(getRoute(rule));
+			if (index % elementsPerStep === elementsPerStep - 1) {
+				yield;
+			}
+		}
+
+		host.#sortRoutes();
+		return host;
+	}
+
 	readonly #rules: readonly Rule[];
 
 	/** Routes by `literalPrefix`, the most specific one first. */
@@ -14,18 +29,8 @@
 	/** Upper bound of the number of segments of a literal prefix. */
 	#maxDepth = 0;
 
-	/** @param rules Rules of the host, in the order of the snapshot. */
-	constructor(rules: readonly Rule[]) {
+	private constructor(rules: readonly Rule[]) {
 		this.#rules = rules;
-		for (const rule of rules) {
-			this.#addRoute(getRoute(rule));
-		}
-
-		for (const routes of this.#routesByPrefix.values()) {
-			if (routes.length > 1) {
-				routes.sort(compareRoutes);
-			}
-		}
 	}
 
 	/** Whether these are the routes of exactly these rules. */
@@ -65,4 +70,12 @@
 			this.#routesByPrefix.set(literalPrefix, [route]);
 		}
 	}
+
+	#sortRoutes(): void {
+		for (const routes of this.#routesByPrefix.values()) {
+			if (routes.length > 1) {
+				routes.sort(compareRoutes);
+			}
+		}
+	}
 }
--- a/packages/rules/src/route-table.ts
+++ b/packages/rules/src/route-table.ts
@@ -1,4 +1,5 @@
 /** Finds the rule for a request. */
+import {elementsPerStep, runSteps, type Steps} from '@ebonylead/base/steps.js';
 import {HostRoutes} from './host-routes.js';
 import {
 	compareRoutes, getRoute, type RequestHead, type Route,
@@ -16,14 +17,22 @@
  * a merge of two edits can't change it.
  */
 export class RouteTable {
+	/** Builds a table in steps. */
+	static * buildInSteps(snapshot: Snapshot, previous?: RouteTable): Steps<RouteTable> {
+		return new RouteTable(snapshot, previous, yield * buildHosts(snapshot.rules, previous));
+	}
+
 	readonly snapshot: Snapshot;
 	readonly #hosts: ReadonlyMap<string, HostRoutes>;
 	#routes: readonly Route[] | undefined;
 
-	/** @param previous Table of an earlier snapshot; hosts whose rules are the same objects are taken from it. */
-	constructor(snapshot: Snapshot, previous?: RouteTable) {
+	/**
+	 * @param previous Table of an earlier snapshot; hosts whose rules are the same objects are taken from it.
+	 * @param hosts Routes by host, if they are built already.
+	 */
+	constructor(snapshot: Snapshot, previous?: RouteTable, hosts: ReadonlyMap<string, HostRoutes> = runSteps(buildHosts(snapshot.rules, previous))) {
 		this.snapshot = snapshot;
-		this.#hosts = buildHosts(snapshot.rules, previous);
+		this.#hosts = hosts;
 	}
 
 	/** All routes, the most specific one first. Sorted on the first access, as no call needs them. */
@@ -49,25 +58,30 @@
 	}
 }
 
-function buildHosts(rules: readonly Rule[], previous: RouteTable | undefined): Map<string, HostRoutes> {
+function * buildHosts(rules: readonly Rule[], previous: RouteTable | undefined): Steps<Map<string, HostRoutes>> {
 	const hosts = new Map<string, HostRoutes>();
-	for (const [host, hostRules] of buildRulesByHost(rules)) {
+	for (const [host, hostRules] of yield * buildRulesByHost(rules)) {
 		const before = previous?.findHostRoutes(host);
-		hosts.set(host, before?.hasRules(hostRules) ? before : new HostRoutes(hostRules));
+		hosts.set(host, before?.hasRules(hostRules) ? before : yield * HostRoutes.buildInSteps(hostRules));
+		yield;
 	}
 
 	return hosts;
 }
 
-function buildRulesByHost(rules: readonly Rule[]): Map<string, Rule[]> {
+function * buildRulesByHost(rules: readonly Rule[]): Steps<Map<string, Rule[]>> {
 	const groups = new Map<string, Rule[]>();
-	for (const rule of rules) {
+	for (const [index, rule] of rules.entries()) {
 		const group = groups.get(rule.host);
 		if (group) {
 			group.push(rule);
 		} else {
 			groups.set(rule.host, [rule]);
 		}
+
+		if (index % elementsPerStep === elementsPerStep - 1) {
+			yield;
+		}
 	}
 
 	return groups;
--- a/packages/rules/src/rule-source.ts
+++ b/packages/rules/src/rule-source.ts
@@ -1,4 +1,5 @@
 /** The interface of a source of accepted rules. */
+import {type RouteTable} from './route-table.js';
 import {type Snapshot} from './rules.js';
 
 /** Limits of size and time for a caller's connection. */
@@ -22,6 +23,9 @@
 	readonly limits: CallerLimits | undefined;
 };
 
+/** Handles a version that a source read, with its route table if the source has built it. */
+export type RulesHandler = (rules: AcceptedRules, routeTable?: RouteTable) => void;
+
 /** A source of the accepted versions of the rules. */
 export type RuleSource = {
 	/** Whether the source did not respond to the last request. */
@@ -32,5 +36,5 @@
 	 *
 	 * @param onRules Called with each version that was read; versions may repeat, and some may be skipped.
 	 */
-	run(signal: AbortSignal, onRules: (rules: AcceptedRules) => void): Promise<void>;
+	run(signal: AbortSignal, onRules: RulesHandler): Promise<void>;
 };
