--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -18,6 +18,7 @@
 import {MemberState, UpstreamState, type Member} from '@ebonylead/peers/generated/peers.js';
 import {Membership} from '@ebonylead/peers/membership.js';
 import {ActiveVersion} from '@ebonylead/rules/active-version.js';
+import {type RouteTable} from '@ebonylead/rules/route-table.js';
 import {type AcceptedRules, type RuleSource} from '@ebonylead/rules/rule-source.js';
 import {type RowStore} from '@ebonylead/store/row-store.js';
 import {CrashDetector} from '@ebonylead/upstreams/crash-detector.js';
@@ -276,8 +277,8 @@
 			clock,
 			random,
 			log: this.#createLog('rules'),
-			onRules: rules => {
-				this.#applyRules(rules);
+			onRules: (rules, routeTable) => {
+				this.#applyRules(rules, routeTable);
 			},
 		});
 	}
@@ -295,10 +296,10 @@
 		}
 	}
 
-	#applyRules(rules: AcceptedRules): void {
+	#applyRules(rules: AcceptedRules, routeTable?: RouteTable): void {
 		const {snapshot, limits} = rules;
 		const before = this.#activeVersion.version;
-		if (!this.#activeVersion.applySnapshot(snapshot)) {
+		if (!this.#activeVersion.applySnapshot(snapshot, routeTable)) {
 			return;
 		}
 
--- a/packages/node/src/rules-sync.ts
+++ b/packages/node/src/rules-sync.ts
@@ -1,7 +1,7 @@
 /** Decides from where this node gets its rules: from the store, or from another node that follows it. */
 import {computeBackoff, type Clock, type Random} from '@ebonylead/base/base.js';
 import {type Logger} from '@ebonylead/base/logs.js';
-import {type AcceptedRules, type RuleSource} from '@ebonylead/rules/rule-source.js';
+import {type RuleSource, type RulesHandler} from '@ebonylead/rules/rule-source.js';
 import {FeedFollower} from './feed-follower.js';
 import {type FeedTransport} from './feed-transport.js';
 import {type ReaderRanking} from './reader-ranking.js';
@@ -22,7 +22,7 @@
 	readonly log: Logger;
 
 	/** Called with each version from the store or from another node. */
-	readonly onRules: (rules: AcceptedRules) => void;
+	readonly onRules: RulesHandler;
 };
 
 /** Interval between two decisions that depend only on time; lines and ends of feeds cause one at once. */
--- a/packages/node/src/store-reading.ts
+++ b/packages/node/src/store-reading.ts
@@ -1,14 +1,14 @@
 /** Reads the rules from the store while this node needs to. */
-import {type AcceptedRules, type RuleSource} from '@ebonylead/rules/rule-source.js';
+import {type RuleSource, type RulesHandler} from '@ebonylead/rules/rule-source.js';
 
 /** Starts and stops the source of the rules. */
 export class StoreReading {
 	readonly #source: RuleSource;
-	readonly #onRules: (rules: AcceptedRules) => void;
+	readonly #onRules: RulesHandler;
 	#controller: AbortController | undefined;
 	#running: Promise<void> = Promise.resolve();
 
-	constructor(source: RuleSource, onRules: (rules: AcceptedRules) => void) {
+	constructor(source: RuleSource, onRules: RulesHandler) {
 		this.#source = source;
 		this.#onRules = onRules;
 	}
