Refuse calls early whose upstream has stopped responding

Callers were held until 20 ms before their deadline at an upstream that answered none of its running calls: the wait was estimated from calls that had ended, and a queued call was looked at again only when its deadline was near.

A running call that is overdue is now expected to run on for as long as it is overdue. The wait of a new call is at least the one that follows, and every 50 ms queued calls that can not end before their deadlines are refused, in the order in which they would get slots; without a measured duration none is.

npx ava packages/upstreams/src/test/admission_test.ts: four of the five new tests failed before (call still queued after 1,200 of 2,000 ms; new calls queued); the fifth guards against refusals at small delays.

--- a/packages/upstreams/src/admission.ts
+++ b/packages/upstreams/src/admission.ts
@@ -4,6 +4,7 @@
 import {AdmissionQueue, type QueuedCall} from './admission-queue.js';
 import {type Cancellation} from './cancellation.js';
 import {RunningCalls} from './running-calls.js';
+import {SlotSchedule} from './slot-schedule.js';
 import {PriorityUsage, ServiceTimes} from './service-times.js';
 import {refusalCauses, type SidecarRefusal} from './upstreams.js';
 
@@ -60,6 +61,9 @@
 /** Interval between two checks of the deadlines of queued calls. */
 const sweepIntervalMs = 10;
 
+/** Minimum interval between two checks of whether the queued calls can still end before their deadlines. */
+const forecastIntervalMs = 50;
+
 /** Mean duration of a call that is assumed before the first one has ended. */
 const initialMeanMs = 5;
 
@@ -89,6 +93,7 @@
 	#slots: number;
 	#isClosed = false;
 	#isSweeping = false;
+	#forecastAt = 0;
 
 	constructor(clock: Clock, slots: number) {
 		this.#clock = clock;
@@ -230,6 +235,33 @@
 		}
 
 		this.#refuseAll(near, refusalCauses.deadlineNear);
+		if (this.#serviceTimes.hasSamples && now - this.#forecastAt >= forecastIntervalMs) {
+			this.#forecastAt = now;
+			this.#refuseHopeless();
+		}
+	}
+
+	/** Refuses queued calls that won't end before their deadlines, even if no call of a higher priority arrives. */
+	#refuseHopeless(): void {
+		const now = this.#clock.now();
+		const schedule = this.#buildSchedule();
+		const hopeless: QueuedCall[] = [];
+		for (const queued of this.#queue.listInOrder(call => this.#isExpectedLate(call))) {
+			const duration = this.#serviceTimes.estimate(queued.request.route);
+			if (now + schedule.nextFreeTime + duration > queued.request.deadline) {
+				hopeless.push(queued);
+			} else {
+				schedule.add(duration);
+			}
+		}
+
+		for (const queued of hopeless) {
+			this.#queue.remove(queued);
+		}
+
+		if (hopeless.length > 0) {
+			this.#refuseAll(hopeless, refusalCauses.deadlineNear);
+		}
 	}
 
 	#refuse(queued: QueuedCall, cause: AdmissionRefusalCause): void {
@@ -290,19 +322,27 @@
 	}
 
 	/**
-	 * Estimates the time in milliseconds until a call gets a slot: the service
-	 * times of the queued calls ahead of it and of one running call, divided by
-	 * the slots that calls of higher priority leave free.
+	 * Estimates the time in milliseconds until a call gets a slot, behind the
+	 * running calls and the queued ones ahead of it. It is longer the more slots
+	 * are used by calls of higher priority, which may arrive later.
 	 */
 	#estimateWait(request: AdmissionRequest, priority: number): number {
+		const schedule = this.#buildSchedule();
+		const slots = Math.max(1, this.#slots);
 		let queuedMs = this.#serviceTimes.mean;
 		for (const queued of this.#queue.listBefore(request, priority)) {
-			queuedMs += this.#serviceTimes.estimate(queued.request.route);
+			const duration = this.#serviceTimes.estimate(queued.request.route);
+			queuedMs += duration;
+			schedule.add(duration);
 		}
 
-		const slots = Math.max(1, this.#slots);
-		const freeSlots = Math.max(slots * minFreeShare, slots - this.#priorityUsage.computeHigherPriorityUsage(priority, this.#clock.now()));
-		return queuedMs / freeSlots;
+		const freeShare = 1 - (this.#priorityUsage.computeHigherPriorityUsage(priority, this.#clock.now()) / slots);
+		return Math.max(schedule.nextFreeTime, queuedMs / slots) / Math.max(minFreeShare, freeShare);
+	}
+
+	#buildSchedule(): SlotSchedule {
+		const remainingTimes = this.#running.estimateRemainingTimes(this.#clock.now(), route => this.#serviceTimes.estimate(route));
+		return new SlotSchedule(Math.max(1, this.#slots), remainingTimes);
 	}
 
 	#buildRefusal(request: AdmissionRequest, cause: AdmissionRefusalCause): Admission {
--- a/packages/upstreams/src/running-calls.ts
+++ b/packages/upstreams/src/running-calls.ts
@@ -11,7 +11,7 @@
 	readonly isExclusive: boolean;
 };
 
-/** Counts running calls. */
+/** Counts running calls, and estimates when they end. */
 export class RunningCalls {
 	readonly #calls = new Set<RunningCall>();
 	readonly #countByRoute = new Map<string, number>();
@@ -48,4 +48,17 @@
 			this.#countByRoute.set(call.route, remaining);
 		}
 	}
+
+	/**
+	 * Estimates the times in milliseconds until each running call ends, in no order.
+	 *
+	 * A call that has run longer than expected is expected to run on for as long
+	 * as it is overdue: an upstream that has stopped responding frees no slots,
+	 * which the durations of ended calls don't show.
+	 *
+	 * @param estimate Returns the expected duration of a call of a route.
+	 */
+	estimateRemainingTimes(now: number, estimate: (route: string) => number): number[] {
+		return Array.from(this.#calls, ({route, startedAt}) => Math.abs(estimate(route) - (now - startedAt)));
+	}
 }
--- a/packages/upstreams/src/service-times.ts
+++ b/packages/upstreams/src/service-times.ts
@@ -29,6 +29,11 @@
 		return this.#overall.value;
 	}
 
+	/** Whether a call has ended, so that the means are measured ones. */
+	get hasSamples(): boolean {
+		return this.#overall.count > 0;
+	}
+
 	/** Returns the mean duration of a route in milliseconds, or that of all routes before the first call of the route has ended. */
 	estimate(route: string): number {
 		return this.#routes.get(route)?.value ?? this.#overall.value;
--- a/packages/upstreams/src/test/admission_test.ts
+++ b/packages/upstreams/src/test/admission_test.ts
@@ -198,6 +198,72 @@
 		t.deepEqual(queued.map(({result}) => result?.kind), ['refused', 'refused', 'refused', 'refused']);
 	});
 
+	describe('whose upstream has stopped responding', () => {
+		const meanMs = 100;
+
+		/** Occupies all slots with calls that don't end, after one call that sets the mean duration. */
+		async function createStalled(clock: FakeClock, slots: number): Promise<{control: AdmissionControl; running: Admission[]}> {
+			const control = new AdmissionControl(clock, slots);
+			const sample = await control.admit(buildRequest());
+			await clock.advance(meanMs);
+			release(sample);
+			return {control, running: await Promise.all(Array.from({length: slots}, async () => control.admit(buildRequest())))};
+		}
+
+		it('refuses a queued call long before its deadline', async t => {
+			const clock = new FakeClock();
+			const {control} = await createStalled(clock, 2);
+			const queued = submit(control, buildRequest({deadline: clock.now() + 2000}));
+			await clock.advance(1200);
+			t.is(queued.result?.kind, 'refused');
+		});
+
+		it('refuses new calls at once, although calls that ended were short', async t => {
+			const clock = new FakeClock();
+			const {control} = await createStalled(clock, 2);
+			await clock.advance(1500);
+			const late = submit(control, buildRequest({deadline: clock.now() + 1000}));
+			await waitForImmediate();
+			t.is(late.result?.kind, 'refused');
+			t.true(late.result?.kind === 'refused' && late.result.refusal.retryAfter! >= 1000);
+		});
+
+		it('keeps a queued call when the running ones are little overdue', async t => {
+			const clock = new FakeClock();
+			const {control, running} = await createStalled(clock, 2);
+			const queued = submit(control, buildRequest({deadline: clock.now() + 500}));
+			await clock.advance(meanMs * 2);
+			t.is(queued.result, undefined);
+			release(running[0]!);
+			await waitForImmediate();
+			t.is(queued.result?.kind, 'admitted');
+		});
+
+		it('refuses new calls before the first call has ended', async t => {
+			const clock = new FakeClock();
+			const control = new AdmissionControl(clock, 1);
+			await control.admit(buildRequest());
+			await clock.advance(1000);
+			const late = submit(control, buildRequest({deadline: clock.now() + 500}));
+			await waitForImmediate();
+			t.is(late.result?.kind, 'refused');
+		});
+	});
+
+	it('refuses a queued call when the calls ahead of it leave too little time, and keeps those', async t => {
+		const clock = new FakeClock();
+		const control = new AdmissionControl(clock, 1);
+		const sample = await control.admit(buildRequest());
+		await clock.advance(300);
+		release(sample);
+		await control.admit(buildRequest());
+		const behind = submit(control, buildRequest({deadline: clock.now() + 1500, priority: 1}));
+		const ahead = Array.from({length: 3}, () => submit(control, buildRequest({deadline: clock.now() + 5000})));
+		await clock.advance(450);
+		t.is(behind.result?.kind, 'refused');
+		t.true(ahead.every(({result}) => result === undefined));
+	});
+
 	describe('under overload', () => {
 		/** Occupies all slots, after one call that sets the mean duration. */
 		async function createSaturated(clock: FakeClock, slots: number, durationMs: number): Promise<{control: AdmissionControl; running: Admission[]}> {
