--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -18,6 +18,7 @@
 import {MemberState, UpstreamState, type Member} from '@ebonylead/peers/generated/peers.js';
 import {Membership} from '@ebonylead/peers/membership.js';
 import {ActiveVersion} from '@ebonylead/rules/active-version.js';
+import {type RouteTable} from '@ebonylead/rules/route-table.js';
 import {type AcceptedRules, type RuleSource} from '@ebonylead/rules/rule-source.js';
 import {type RowStore} from '@ebonylead/store/row-store.js';
 import {CrashDetector} from '@ebonylead/upstreams/crash-detector.js';
@@ -89,7 +90,7 @@
 const responseFlushMs = 150;
 const drainPollIntervalMs = 20;
 
-/** Number of nodes in each data centre that read the rules from the store for the others; two, so that one may fail. */
+/** Number of readers in each data centre: one reads the rules from the store for the others, one stands by. */
 const readerCount = 2;
 
 /** Exclusive upper bound of the random `instance` of a member: an unsigned 32-bit number, as in the messages between peers. */
@@ -156,7 +157,7 @@
 			},
 		});
 		this.#rulesSync = this.#createRulesSync();
-		this.#rulesFeed = new RulesFeed({history: this.#history, clock, getFreshUntil: () => this.#rulesSync.freshUntil});
+		this.#rulesFeed = new RulesFeed({history: this.#history, clock, getFreshness: () => this.#rulesSync.freshness});
 		this.#stateFetcher = new PeerStateFetcher({
 			self: this.#directory.self,
 			seedHosts: settings.seedHosts,
@@ -266,6 +267,7 @@
 		const clock = this.#clock;
 		const random = this.#random;
 		return new RulesSync({
+			id: settings.id,
 			source: ruleSource,
 			transport: new HttpFeedTransport(),
 			history: this.#history,
@@ -275,8 +277,8 @@
 			clock,
 			random,
 			log: this.#createLog('rules'),
-			onRules: rules => {
-				this.#applyRules(rules);
+			onRules: (rules, routeTable) => {
+				this.#applyRules(rules, routeTable);
 			},
 		});
 	}
@@ -294,10 +296,10 @@
 		}
 	}
 
-	#applyRules(rules: AcceptedRules): void {
+	#applyRules(rules: AcceptedRules, routeTable?: RouteTable): void {
 		const {snapshot, limits} = rules;
 		const before = this.#activeVersion.version;
-		if (!this.#activeVersion.applySnapshot(snapshot)) {
+		if (!this.#activeVersion.applySnapshot(snapshot, routeTable)) {
 			return;
 		}
 
