Draw on the retry budget only for a retry that is made

Each suspicion of the only upstream of a service drew a retry on the budget, although there was no node to send the call to; later calls got a 502 in place of their retry. The upstream is now chosen first.

--- a/packages/callers/src/refusal-reader.ts
+++ b/packages/callers/src/attempt-refusals.ts
@@ -1,7 +1,19 @@
-/** Reads the refusals of sidecars. */
+/** Refusals of sidecars, and those of this node where no sidecar can be asked. */
 import {type ResponseHeaders} from '@ebonylead/upstreams/forward.js';
 import {meshHeaders, outcomes, type Refusal} from '@ebonylead/upstreams/upstreams.js';
 
+/** Retry delay in milliseconds of the refusals by this node. */
+export const defaultRetryAfterMs = 200;
+
+const statusUnavailable = 503;
+
+/** Builds the refusal of a call to a service without a ready upstream. */
+export function buildNoUpstreamRefusal(service: string): Refusal {
+	return {
+		status: statusUnavailable, outcome: outcomes.notRun, reason: `no upstream of "${service}" is ready`, retryAfter: defaultRetryAfterMs,
+	};
+}
+
 /** Reads a sidecar's refusal from the status and headers of a response; for an error status of the upstream itself it builds a refusal. */
 export function readRefusal(status: number, headers: ResponseHeaders): Refusal {
 	const outcome = headers[meshHeaders.outcome] === outcomes.notRun ? outcomes.notRun : outcomes.unknown;
--- a/packages/callers/src/call.ts
+++ b/packages/callers/src/call.ts
@@ -9,7 +9,7 @@
 import {readPositiveInteger} from '@ebonylead/upstreams/request-headers.js';
 import {meshHeaders, outcomes, type Refusal} from '@ebonylead/upstreams/upstreams.js';
 import {chooseService} from './service-split.js';
-import {readRefusal} from './refusal-reader.js';
+import {buildNoUpstreamRefusal, defaultRetryAfterMs, readRefusal} from './attempt-refusals.js';
 import {Attempt, type AttemptResult} from './attempt.js';
 import {AttemptCounts, type AttemptEffect} from './attempt-counts.js';
 import {AttemptsInFlight} from './attempts-in-flight.js';
@@ -30,8 +30,6 @@
 /** Number of crashed upstreams after which a call that was in flight there is not retried. */
 const maxCrashes = 2;
 
-const defaultRetryAfterMs = 200;
-
 const statusBadRequest = 400;
 const statusNotFound = 404;
 const firstServerError = 500;
@@ -164,10 +162,9 @@
 		let attemptCount = 1;
 		let step = this.#startAttempt(route, body, inheritedAttempt) ?? await this.#waitForStep(route);
 		while (step !== 'done') {
-			if (step === 'retry' && body !== this.#request && this.#canRetry(route, attemptCount, inheritedAttempt)) {
-				this.#dependencies.metrics.recordRetry(this.#service);
+			if (step === 'retry' && body !== this.#request && this.#canRetry(route, attemptCount)) {
 				attemptCount++;
-				step = this.#startAttempt(route, body, inheritedAttempt + attemptCount - 1) ?? await this.#waitForStep(route);
+				step = this.#startAttempt(route, body, inheritedAttempt + attemptCount - 1, () => this.#admitRetry(inheritedAttempt)) ?? await this.#waitForStep(route);
 			} else if (this.#inFlight.isEmpty) {
 				this.#refuse(step === 'retry' ? this.#lastRefusal : step);
 				return;
@@ -177,34 +174,45 @@
 		}
 	}
 
+	/** Returns whether the call may be sent to another node, apart from the retry budget. */
+	#canRetry(route: Route, attemptCount: number): boolean {
+		if (this.#cancellation.isCancelled || this.#timeLeft < minAttemptTimeMs || attemptCount >= maxAttempts) {
+			return false;
+		}
+
+		return this.#counts.possibleRuns === 0 || (route.rule.idempotent && this.#counts.possibleRuns < (route.rule.maxTries ?? defaultMaxRuns));
+	}
+
 	/**
-	 * Returns whether the call may be sent to another node.
+	 * Draws a retry on the budget, and returns whether it may be made.
 	 *
 	 * Only a call that an upstream received draws on the retry budget, because a refusal by a node puts no load on an upstream. A call that was made on
 	 * behalf of a retry is not retried after it reached an upstream, so that retries don't multiply down a chain of services.
 	 */
-	#canRetry(route: Route, attemptCount: number, inheritedAttempt: number): boolean {
-		if (this.#cancellation.isCancelled || this.#timeLeft < minAttemptTimeMs || attemptCount >= maxAttempts) {
-			return false;
+	#admitRetry(inheritedAttempt: number): boolean {
+		const {metrics, retryBudget} = this.#dependencies;
+		const isAdmitted = this.#counts.reachedUpstreams === 0 || (inheritedAttempt === 1 && retryBudget.admitRetry(this.#service));
+		if (isAdmitted) {
+			metrics.recordRetry(this.#service);
 		}
 
-		if (this.#counts.possibleRuns > 0 && !(route.rule.idempotent && this.#counts.possibleRuns < (route.rule.maxTries ?? defaultMaxRuns))) {
-			return false;
-		}
-
-		return this.#counts.reachedUpstreams === 0 || (inheritedAttempt === 1 && this.#dependencies.retryBudget.admitRetry(this.#service));
+		return isAdmitted;
 	}
 
 	get #timeLeft(): number {
 		return this.#deadline - (this.#dependencies.clock.now() - this.#startedAt);
 	}
 
-	/** Starts an attempt; returns a refusal if there is no upstream for it. */
-	#startAttempt(route: Route, body: RequestBody, attemptNumber: number): Refusal | undefined {
+	/** Starts an attempt; returns a refusal if there is no upstream for it, or if it is not admitted then. */
+	#startAttempt(route: Route, body: RequestBody, attemptNumber: number, admit: () => boolean = () => true): Refusal | undefined {
 		const {chooser, requestIds} = this.#dependencies;
 		const member = chooser.choose(this.#service, route, this.#attemptedIds);
 		if (member === undefined) {
-			return chooser.findCapacityRefusal(this.#service, route) ?? (this.#attemptedIds.size > 0 ? this.#lastRefusal : this.#buildNoUpstreamRefusal());
+			return chooser.findCapacityRefusal(this.#service, route) ?? (this.#attemptedIds.size > 0 ? this.#lastRefusal : buildNoUpstreamRefusal(this.#service));
+		}
+
+		if (!admit()) {
+			return this.#lastRefusal;
 		}
 
 		this.#attemptedIds.add(member.id);
@@ -247,12 +255,6 @@
 		return route.rule.idempotent ? 'retry' : this.#lastRefusal;
 	}
 
-	#buildNoUpstreamRefusal(): Refusal {
-		return {
-			status: statusUnavailable, outcome: outcomes.notRun, reason: `no upstream of "${this.#service}" is ready`, retryAfter: defaultRetryAfterMs,
-		};
-	}
-
 	/** Returns whether a response is forwarded to the caller; refusals by sidecars and failures that may be retried are not. */
 	#isForwardable(route: Route, status: number, headers: ResponseHeaders): boolean {
 		if (headers[meshHeaders.outcome] !== undefined) {
--- a/packages/callers/src/test/silent-sidecar_test.ts
+++ b/packages/callers/src/test/silent-sidecar_test.ts
@@ -1,4 +1,4 @@
-import {get} from 'node:http';
+import {get, type ServerResponse} from 'node:http';
 import {relayDirections} from '@ebonylead/stand-ins/delay-relay.js';
 import {describe, it} from '@ebonylead/stand-ins/describe.js';
 import {waitUntil} from '@ebonylead/stand-ins/wait-until.js';
@@ -168,6 +168,35 @@
 		});
 	}
 
+	it('draw nothing on the retry budget if there is no other node', async t => {
+		await withHarness(async harness => {
+			const responses: ServerResponse[] = [];
+			const vm = await harness.addVm((_request, response) => {
+				responses.push(response);
+			}, {slots: 20});
+			const relay = await harness.addRelay(vm, '127.0.0.39');
+			const suspectedCalls = Array.from({length: 15}, async () => call(harness, 'GET', paths.patient));
+			await waitUntil(() => responses.length === suspectedCalls.length);
+			relay.pause();
+			await sleep(2 * pauseMs);
+			for (const response of responses) {
+				response.end('whole');
+			}
+
+			relay.resume();
+			await Promise.all(suspectedCalls);
+			await harness.addVm(buildResponder('other'), {slots: 1});
+			const crashing = await harness.addVm(incoming => {
+				incoming.socket.destroy();
+			}, {slots: 20});
+			for (let round = 0; round < 10; round++) {
+				t.like(await call(harness, 'GET', paths.patient), {status: 200, body: 'other'});
+			}
+
+			t.true(crashing.requestCount > 0);
+		});
+	});
+
 	it('are answered by whichever node responds first, and cancelled at the other', async t => {
 		await withHarness(async harness => {
 			const vm = await harness.addVm(buildSlowResponder('whole', upstreamTimeMs));
