--- a/packages/callers/src/attempt.ts
+++ b/packages/callers/src/attempt.ts
@@ -24,6 +24,9 @@
 /** Time in milliseconds without a connection after which a node counts as unreachable, even if the call was cancelled in the meantime. */
 const unreachableAfterMs = 150;
 
+/** Time in milliseconds by which a timer may fire early. */
+const timerToleranceMs = 1;
+
 /** Number of probes in a row without a response after which the upstream is ejected. */
 const maxFailedProbes = 2;
 
@@ -135,12 +138,12 @@
 
 			case attemptVerdicts.notReceived: {
 				this.#isNotReceived = true;
-				this.#end(verdict, 'the sidecar has not received the call');
+				this.#cancelOnEvidence(verdict, 'the sidecar has not received the call');
 				return;
 			}
 
 			case attemptVerdicts.lost: {
-				this.#end(verdict, `the sidecar sends no response to the call any more: ${describeOutcome(outcome)}`);
+				this.#cancelOnEvidence(verdict, `the sidecar sends no response to the call any more: ${describeOutcome(outcome)}`);
 			}
 		}
 	}
@@ -214,8 +217,8 @@
 		}
 	}
 
-	/** Ends the attempt on evidence: its connection no longer works. */
-	#end(verdict: AttemptVerdict, reason: string): void {
+	/** Ends the attempt on evidence that its connection no longer works. */
+	#cancelOnEvidence(verdict: AttemptVerdict, reason: string): void {
 		this.#recordDecision({verdict}, 'Ended an attempt at a silent sidecar');
 		this.#dependencies.pools.closeIfUnresponsive(this.origin, this.#startedAt);
 		this.#cancellation.cancel(new Error(reason));
@@ -260,7 +263,7 @@
 			onVersion?.(Number(result.headers[meshHeaders.version] ?? 0), this.origin);
 		}
 
-		if (result.kind === 'unanswered' && isCallCancelled && age >= this.#options.timeLeft) {
+		if (result.kind === 'unanswered' && isCallCancelled && age > this.#options.timeLeft - timerToleranceMs) {
 			pools.closeIfUnresponsive(this.origin, this.#startedAt);
 		}
 	}
--- a/packages/callers/src/test/faulty-call_test.ts
+++ b/packages/callers/src/test/faulty-call_test.ts
@@ -54,6 +54,22 @@
 		});
 	});
 
+	describe('whose deadline comes before a probe', () => {
+		it('close the connections of their pool too, so that later calls get new ones', async t => {
+			await withHarness(async harness => {
+				const vm = await harness.addVm((incoming, response) => {
+					response.end(String(incoming.headers['x-ebonylead-attempt']));
+				});
+				const relay = await harness.addRelay(vm, '127.0.0.11');
+				await call(harness, 'GET', '/patient');
+				relay.blackholeOpenConnections();
+				const first = await call(harness, 'GET', '/patient', {headers: {'x-ebonylead-deadline': '200'}});
+				t.like(first, {status: 504, outcome: 'unknown'});
+				t.like(await call(harness, 'GET', '/patient'), {status: 200, body: '1'});
+			});
+		});
+	});
+
 	describe('that wait for a connection', () => {
 		it('do not make a node count as unreachable if all its connections are in use', async t => {
 			await withHarness(async harness => {
--- a/packages/upstreams/src/attempt-registry.ts
+++ b/packages/upstreams/src/attempt-registry.ts
@@ -6,10 +6,10 @@
 const endedMarginMs = 2000;
 
 /** Time in milliseconds for which an attempt that was reported as not received is refused; longer than the retransmissions of a closed connection take. */
-const rejectionDurationMs = 120_000;
+const refusalDurationMs = 120_000;
 
 /** Maximum number of attempts that are remembered to be refused; beyond it none is reported as not received. */
-const maxRejected = 10_000;
+const maxRefused = 10_000;
 
 /** Maximum number of ended attempts; beyond it they are forgotten, which `knownFor` tells. */
 const maxEnded = 20_000;
@@ -23,7 +23,7 @@
 	setRunning(): void;
 
 	/** Sets that the response was sent, or its connection was closed. */
-	end(): void;
+	setEnded(): void;
 };
 
 /** Remembers attempts in flight and those that ended lately, so that an entry node whose connection is silent can learn what became of its call. */
@@ -35,7 +35,7 @@
 	readonly #ended = new Map<string, number>();
 
 	/** Attempts to refuse, each with the time until which it is remembered, in the order of these times. */
-	readonly #rejected = new Map<string, number>();
+	readonly #refused = new Map<string, number>();
 	#knownSince: number;
 	#endsSinceSweep = 0;
 
@@ -60,7 +60,7 @@
 	 * @param deadline Time in milliseconds that the attempt has left.
 	 */
 	register(id: string, deadline: number): RegisteredAttempt | undefined {
-		if (this.#rejected.has(id)) {
+		if (this.#refused.has(id)) {
 			return undefined;
 		}
 
@@ -70,8 +70,8 @@
 			setRunning: () => {
 				this.#inFlight.set(id, attemptStates.running);
 			},
-			end: () => {
-				this.#end(id, endedUntil);
+			setEnded: () => {
+				this.#recordEnd(id, endedUntil);
 			},
 		};
 	}
@@ -83,29 +83,29 @@
 			return state;
 		}
 
-		return this.#ended.has(id) ? attemptStates.ended : this.#reject(id);
+		return this.#ended.has(id) ? attemptStates.ended : this.#refuse(id);
 	}
 
-	#reject(id: string): AttemptState {
+	#refuse(id: string): AttemptState {
 		const now = this.#clock.now();
-		for (const [rejectedId, until] of this.#rejected) {
+		for (const [refusedId, until] of this.#refused) {
 			if (until > now) {
 				break;
 			}
 
-			this.#rejected.delete(rejectedId);
+			this.#refused.delete(refusedId);
 		}
 
-		if (!this.#rejected.has(id) && this.#rejected.size >= maxRejected) {
+		if (!this.#refused.has(id) && this.#refused.size >= maxRefused) {
 			return attemptStates.undecided;
 		}
 
-		this.#rejected.delete(id);
-		this.#rejected.set(id, now + rejectionDurationMs);
+		this.#refused.delete(id);
+		this.#refused.set(id, now + refusalDurationMs);
 		return attemptStates.notReceived;
 	}
 
-	#end(id: string, until: number): void {
+	#recordEnd(id: string, until: number): void {
 		if (!this.#inFlight.delete(id)) {
 			return;
 		}
--- a/packages/upstreams/src/forward.ts
+++ b/packages/upstreams/src/forward.ts
@@ -337,7 +337,7 @@
 
 	#restartSilenceTimer(): void {
 		if (!this.#isFinished) {
-			this.#silenceTimer?.restart();
+			this.#silenceTimer?.start();
 		}
 	}
 
--- a/packages/upstreams/src/mesh-call.ts
+++ b/packages/upstreams/src/mesh-call.ts
@@ -68,7 +68,7 @@
 		}, this.#deadline);
 		const interimTimer = this.#attemptId === undefined ? this.#startInterimResponses() : undefined;
 		this.#response.on('close', () => {
-			this.#attempt?.end();
+			this.#attempt?.setEnded();
 			if (!this.#response.writableFinished) {
 				this.#cancellation.cancel(new Error('the caller closed its connection'));
 			}
--- a/packages/upstreams/src/silence-timer.ts
+++ b/packages/upstreams/src/silence-timer.ts
@@ -19,8 +19,8 @@
 		this.#options = options;
 	}
 
-	/** Starts to wait for the next byte. */
-	restart(): void {
+	/** Starts to wait for the next byte, anew if it waits already. */
+	start(): void {
 		this.stop();
 		this.#timer = setTimeout(() => {
 			this.#isSilent = true;
@@ -28,7 +28,7 @@
 		}, this.#options.timeout);
 	}
 
-	/** Stops until the next `restart`. */
+	/** Stops until the next `start`. */
 	stop(): void {
 		clearTimeout(this.#timer);
 		if (this.#isSilent) {
--- a/packages/upstreams/src/test/attempt-registry_test.ts
+++ b/packages/upstreams/src/test/attempt-registry_test.ts
@@ -12,7 +12,7 @@
 		t.is(registry.probe('a'), attemptStates.queued);
 		attempt.setRunning();
 		t.is(registry.probe('a'), attemptStates.running);
-		attempt.end();
+		attempt.setEnded();
 		t.is(registry.probe('a'), attemptStates.ended);
 	});
 
@@ -28,9 +28,9 @@
 	it('never reports an attempt that ended as not received before its deadline, among many that ended later', async t => {
 		const clock = new FakeClock();
 		const registry = new AttemptRegistry(clock);
-		registry.register('a', 3000)!.end();
+		registry.register('a', 3000)!.setEnded();
 		for (let index = 0; index < 2000; index++) {
-			registry.register(`b${index}`, 10)!.end();
+			registry.register(`b${index}`, 10)!.setEnded();
 			await clock.advance(1);
 		}
 
@@ -46,7 +46,7 @@
 		t.is(registry.knownFor, 0);
 		await clock.advance(100);
 		for (let index = 0; index <= 20_000; index++) {
-			registry.register(`b${index}`, 60_000)!.end();
+			registry.register(`b${index}`, 60_000)!.setEnded();
 		}
 
 		t.is(registry.knownFor, 0);
