--- a/packages/bench/src/soak-plan.ts
+++ b/packages/bench/src/soak-plan.ts
@@ -39,12 +39,15 @@
 	readonly hasFaults: boolean;
 };
 
+/** Number of first values of the random source that are skipped, as those of near seeds are alike. */
+const skippedValues = 32;
+
 /** Time at the end without a disturbance, in which everything must recover. */
 const quietEndMs = 9000;
 
 /** Bounds of the time between two episodes. Some are shorter than a restart takes, so that episodes overlap. */
 const minEpisodeGapMs = 100;
-const maxEpisodeGapMs = 4000;
+const maxEpisodeGapMs = 2500;
 
 /** Bounds of the time between two restarts of a series. */
 const minSeriesGapMs = 50;
@@ -61,6 +64,10 @@
 /** Plans the events of a soak, in the order of their times. */
 export function planSoak({seed, duration, vmCount, hasFaults}: SoakPlanOptions): SoakEvent[] {
 	const random = new SeededRandom(seed);
+	for (let index = 0; index < skippedValues; index++) {
+		random.next();
+	}
+
 	const faults = [...processFaults, ...storeFaults].filter(() => random.next() < faultShare);
 	const events: SoakEvent[] = [];
 	let at = 0;
