Refuse requests that arrived unread when a node closes

Cause: a stopping node closed its connections in the same turn of the event loop in which its last wait ended. What had arrived meanwhile, while the process got no processor time, was cut unread, later than 0.2 s after it was sent. Change: three turns of the event loop before the connections are closed, so that these requests are read and refused.

--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -79,6 +79,9 @@
 const responseFlushMs = 150;
 const drainPollIntervalMs = 20;
 
+/** Turns of the event loop before the connections are closed: one to accept connections, one to read their requests, and one to refuse these. */
+const finalReadTurns = 3;
+
 /** Exclusive upper bound of the random `instance` of a member: an unsigned 32-bit number, as in the messages between peers. */
 const instanceLimit = 0x1_00_00_00_00;
 
@@ -219,6 +222,7 @@
 		const cut = this.#inFlightCount;
 		this.#callerListener.cancelCalls('this node stops');
 		await this.#clock.sleep(responseFlushMs);
+		await this.#readArrivedRequests();
 		this.#log.info({cut, duration: Math.round(this.#clock.now() - startedAt)}, 'Stopped');
 		await this.close();
 		return cut;
@@ -242,6 +246,15 @@
 		return this.#callerListener.inFlightCount + this.#meshListener.inFlightCount;
 	}
 
+	/** Reads what has arrived while this process got no processor time, so that it is refused and not cut. */
+	async #readArrivedRequests(): Promise<void> {
+		for (let turn = 0; turn < finalReadTurns; turn++) {
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		}
+	}
+
 	#getState({version, includeMembers}: StateQuery): PeerState {
 		return {
 			rules: version < this.#activeVersion.version ? this.#rules : undefined,
