--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -93,6 +93,9 @@
 /** Number of readers in each data centre: one reads the rules from the store for the others, one stands by. */
 const readerCount = 2;
 
+/** Turns of the event loop before the connections are closed: one to accept connections, one to read their requests, and one to refuse these. */
+const finalReadTurns = 3;
+
 /** Exclusive upper bound of the random `instance` of a member: an unsigned 32-bit number, as in the messages between peers. */
 const instanceLimit = 0x1_00_00_00_00;
 
@@ -239,6 +242,7 @@
 		const cut = this.#inFlightCount;
 		this.#callerListener.cancelCalls('this node stops');
 		await this.#clock.sleep(responseFlushMs);
+		await this.#readArrivedRequests();
 		this.#log.info({cut, duration: Math.round(this.#clock.now() - startedAt)}, 'Stopped');
 		await this.close();
 		return cut;
@@ -283,6 +287,15 @@
 		});
 	}
 
+	/** Reads what has arrived while this process got no processor time, so that it is refused and not cut. */
+	async #readArrivedRequests(): Promise<void> {
+		for (let turn = 0; turn < finalReadTurns; turn++) {
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		}
+	}
+
 	#getState({versions, includeMembers}: StateQuery): string {
 		const members = includeMembers ? this.#membership.listAll().filter(member => member.state === MemberState.ALIVE) : [];
 		return encodeState(this.#history.encodeUpdate(versions), members);
