Pass calls to the path of state requests on to the upstream

A caller whose request had a path that begins with /x-ebonylead/state, on a route that allows it, got the state of a node with status 200 in place of the upstream's response. Nodes send no service header with a state request, calls always have one.

--- a/packages/callers/src/test/faulty-call_test.ts
+++ b/packages/callers/src/test/faulty-call_test.ts
@@ -200,6 +200,17 @@
 			});
 		});
 
+		it('to paths that nodes use between each other reach the upstream', async t => {
+			await withHarness(async harness => {
+				const vm = await harness.addVm(buildResponder('of the upstream'));
+				for (const path of ['/x-ebonylead/state', '/x-ebonylead/attempts?ids=a']) {
+					await expectResponse(t, call(harness, 'GET', path, {headers: {'x-ebonylead-service': '/x-ebonylead/attempts'}}), {status: 200, body: 'of the upstream'});
+				}
+
+				t.is(vm.requestCount, 2);
+			});
+		});
+
 		it('can not set headers that only nodes may set', async t => {
 			await withHarness(async harness => {
 				await harness.addVm((incoming, response) => {
--- a/packages/stand-ins/src/mesh-harness.ts
+++ b/packages/stand-ins/src/mesh-harness.ts
@@ -197,6 +197,7 @@
 		});
 		return new MeshListener({
 			localUpstream, quarantine, crashDetector, protocol: new DefaultUpstreamProtocol(), clock: this.#clock, log, decisionLog: new DecisionLog(log, this.#clock),
+			getState: () => ({}),
 		});
 	}
 
--- a/packages/upstreams/src/mesh-listener.ts
+++ b/packages/upstreams/src/mesh-listener.ts
@@ -107,13 +107,15 @@
 	}
 
 	async #handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		if (request.url?.startsWith(statePath) && this.#dependencies.getState) {
+		const service = readHeader(request, meshHeaders.service);
+		// A call has a service, also one whose path is the same.
+		if (service === undefined && request.url?.startsWith(statePath) && this.#dependencies.getState) {
 			const query = new URL(request.url, 'http://node').searchParams;
 			sendJson(response, statusOk, this.#dependencies.getState({version: Number(query.get('version')), includeMembers: query.has('members')}));
 			return;
 		}
 
-		if (request.url?.startsWith(attemptProbePath) && readHeader(request, meshHeaders.service) === attemptProbeService) {
+		if (service === attemptProbeService && request.url?.startsWith(attemptProbePath)) {
 			this.#handleAttemptProbe(request.url, response);
 			return;
 		}
