Send the members over the feeds between nodes

Each node held a request for changes of members at the store, and a change woke all of them. A follower gets the rows from its reader now, over the feed on which it gets the versions; a new one starts from its own first read. The follower of the table and what it does with rows, eras included, is as before: it reads through a store that answers from these rows while a reader with a fresh word sends them. Writes still go to the store.

--- a/packages/node/src/feed-follower.ts
+++ b/packages/node/src/feed-follower.ts
@@ -3,6 +3,7 @@
 import {describeError} from '@ebonylead/base/errors.js';
 import {type AcceptedRules} from '@ebonylead/rules/rule-source.js';
 import {type FeedTransport} from './feed-transport.js';
+import {type RowCache} from './row-cache.js';
 import {type FeedLine, type Freshness} from './rules-feed.js';
 import {type RulesHistory} from './rules-history.js';
 
@@ -12,6 +13,7 @@
 	readonly id: string;
 	readonly transport: FeedTransport;
 	readonly history: RulesHistory;
+	readonly rows: RowCache;
 	readonly clock: Clock;
 
 	/** Called with each version that the other node sent. */
@@ -85,11 +87,13 @@
 	}
 
 	async #follow(origin: string, signal: AbortSignal): Promise<void> {
-		const {transport, history, onEnd} = this.#dependencies;
+		const {
+			transport, history, rows, onEnd,
+		} = this.#dependencies;
 		let reason = 'the feed ended';
 		try {
 			const versions = this.#needsWhole ? [] : history.listVersions();
-			await this.#readLines(await transport.open(origin, versions, signal), signal);
+			await this.#readLines(await transport.open(origin, {versions, rows: rows.cursor}, signal), signal);
 		} catch (error) {
 			reason = describeError(error);
 		}
@@ -119,10 +123,10 @@
 	}
 
 	#handleLine({
-		version, freshFor, reader, update,
+		version, freshFor, reader, update, rows: rowUpdate,
 	}: FeedLine): void {
 		const {
-			id, history, onRules, onLine,
+			id, history, rows, onRules, onLine,
 		} = this.#dependencies;
 		if (update !== undefined && version > history.version) {
 			this.#needsWhole = true;
@@ -130,6 +134,10 @@
 			this.#needsWhole = false;
 		}
 
+		if (rowUpdate !== undefined && rows.cursor !== undefined) {
+			rows.applyUpdate(rowUpdate);
+		}
+
 		this.#hasLine = true;
 		const until = this.#lastBytesAt + freshFor;
 		// A word that this node got itself, and that returns over other nodes, tells nothing.
--- a/packages/node/src/member-directory.ts
+++ b/packages/node/src/member-directory.ts
@@ -17,6 +17,9 @@
 	readonly clock: Clock;
 	readonly log: Logger;
 
+	/** Returns the minimum interval between two reads of changes in milliseconds; undefined for the one that suits a node that reads beside all others. */
+	readonly getReadInterval?: () => number | undefined;
+
 	/** Record of this node at startup. */
 	readonly self: Member;
 
@@ -85,7 +88,7 @@
 			table: memberTable,
 			clock: dependencies.clock,
 			log: dependencies.log,
-			getMinInterval: () => Math.min(maxReadIntervalMs, dependencies.membership.aliveCount * readIntervalPerMemberMs),
+			getMinInterval: () => dependencies.getReadInterval?.() ?? Math.min(maxReadIntervalMs, dependencies.membership.aliveCount * readIntervalPerMemberMs),
 			onRows: (rows, isComplete, era) => {
 				this.#mergeRows(rows, isComplete, era);
 			},
--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -28,10 +28,12 @@
 import {type UpstreamProtocol} from '@ebonylead/upstreams/upstream-protocol.js';
 import {type Registry} from 'prom-client';
 import {MemberDirectory} from './member-directory.js';
-import {HttpFeedTransport} from './feed-transport.js';
+import {HttpFeedTransport, parsePosition} from './feed-transport.js';
 import {PeerStateFetcher, encodeState, type PeerState} from './peer-state.js';
 import {ReaderRanking} from './reader-ranking.js';
-import {RulesFeed} from './rules-feed.js';
+import {RelayedRowStore} from './relayed-row-store.js';
+import {RowCache} from './row-cache.js';
+import {RulesFeed, type Freshness} from './rules-feed.js';
 import {RulesHistory} from './rules-history.js';
 import {RulesSync} from './rules-sync.js';
 import {AnnouncementHandler} from './announcement-handler.js';
@@ -92,6 +94,12 @@
 /** Number of readers in each data centre: one reads the rules from the store for the others, one stands by. */
 const readerCount = 2;
 
+/** Interval between two reads of members by a reader; changes of meanwhile go to its followers together. */
+const readerIntervalMs = 250;
+
+/** Tells followers to choose another node, as this one does not get the members. */
+const staleWord: Freshness = {until: Number.NEGATIVE_INFINITY, reader: ''};
+
 /** Exclusive upper bound of the random `instance` of a member: an unsigned 32-bit number, as in the messages between peers. */
 const instanceLimit = 0x1_00_00_00_00;
 
@@ -113,6 +121,8 @@
 	readonly #callerListener: CallerListener;
 	readonly #stateFetcher: PeerStateFetcher;
 	readonly #history = new RulesHistory();
+	readonly #rows = new RowCache();
+	readonly #ranking: ReaderRanking;
 	readonly #rulesSync: RulesSync;
 	readonly #rulesFeed: RulesFeed;
 
@@ -128,7 +138,15 @@
 		this.#log = this.#createLog('node');
 		this.#localUpstream = new LocalUpstream(clock, this.#createLog('upstream'));
 		this.#directory = new MemberDirectory({
-			store, membership: this.#membership, clock, log: this.#createLog('members'), self: this.#buildMember(), onRestored: (member, upstream) => {
+			store: new RelayedRowStore({
+				store, cache: this.#rows, clock, isRelayed: () => this.#rulesSync.isFollowing,
+			}),
+			membership: this.#membership,
+			clock,
+			log: this.#createLog('members'),
+			self: this.#buildMember(),
+			getReadInterval: () => this.#getReadInterval(),
+			onRestored: (member, upstream) => {
 				if (member && upstream) {
 					this.announcementHandler.restore(upstream, member.upstreamState);
 				}
@@ -147,16 +165,21 @@
 			decisionLog: new DecisionLog(this.#createLog('mesh'), clock),
 			refusalMetrics: new RefusalMetrics(registry),
 			getState: query => this.#getState(query),
-			openFeed: (output, versions) => {
-				this.#rulesFeed.add(output, versions);
+			openFeed: (output, parameters) => {
+				this.#rulesFeed.add(output, parsePosition(parameters));
 			},
 			getVersion: () => this.#activeVersion.version,
 			onVersion: (version, origin) => {
 				this.#stateFetcher.recordVersion(version, origin);
 			},
 		});
+		this.#ranking = new ReaderRanking({
+			id: settings.id, dataCentre: settings.dataCentre, membership: this.#membership, clock, random, readerCount,
+		});
 		this.#rulesSync = this.#createRulesSync();
-		this.#rulesFeed = new RulesFeed({history: this.#history, clock, getFreshness: () => this.#rulesSync.freshness});
+		this.#rulesFeed = new RulesFeed({
+			history: this.#history, rows: this.#rows, clock, getFreshness: () => this.#directory.isUnavailable ? staleWord : this.#rulesSync.freshness,
+		});
 		this.#stateFetcher = new PeerStateFetcher({
 			self: this.#directory.self,
 			seedHosts: settings.seedHosts,
@@ -270,9 +293,8 @@
 			source: ruleSource,
 			transport: new HttpFeedTransport(),
 			history: this.#history,
-			ranking: new ReaderRanking({
-				id: settings.id, dataCentre: settings.dataCentre, membership: this.#membership, clock, random, readerCount,
-			}),
+			rows: this.#rows,
+			ranking: this.#ranking,
 			clock,
 			random,
 			log: this.#createLog('rules'),
@@ -282,6 +304,15 @@
 		});
 	}
 
+	/** Returns the interval between two reads of members; none where another node sends them, and a short one where this node reads them for others. */
+	#getReadInterval(): number | undefined {
+		if (this.#rulesSync.isFollowing) {
+			return 0;
+		}
+
+		return this.#ranking.isReader ? readerIntervalMs : undefined;
+	}
+
 	#getState({versions, includeMembers}: StateQuery): string {
 		const members = includeMembers ? this.#membership.listAll().filter(member => member.state === MemberState.ALIVE) : [];
 		return encodeState(this.#history.encodeUpdate(versions), members);
--- a/packages/node/src/rules-feed.ts
+++ b/packages/node/src/rules-feed.ts
@@ -1,6 +1,8 @@
-/** Sends the versions of this node to the nodes that follow it, each over one open response. */
+/** Sends the versions of the rules and the rows of the members to the nodes that follow this one, each over one open response. */
 import {type Writable} from 'node:stream';
 import {type Clock} from '@ebonylead/base/base.js';
+import {type FeedPosition} from './feed-transport.js';
+import {type RowCache, type RowCursor, type RowUpdate} from './row-cache.js';
 import {type RulesHistory, type RulesUpdate} from './rules-history.js';
 
 /** A line of a feed: the version of the sending node, with an update to it where the receiver has an earlier one. */
@@ -13,6 +15,9 @@
 	/** Identity of the node that got this word from the store. */
 	readonly reader: string;
 	readonly update?: RulesUpdate;
+
+	/** Rows of the members that the receiver lacks; absent before the sending node has read them. */
+	readonly rows?: RowUpdate;
 };
 
 /** A word from the store: until which monotonic time it counts as fresh, and the identity of the node that got it. */
@@ -21,6 +26,7 @@
 /** Dependencies of `RulesFeed`. */
 export type RulesFeedDependencies = {
 	readonly history: RulesHistory;
+	readonly rows: RowCache;
 	readonly clock: Clock;
 
 	/** Returns the freshness of the last word from the store. */
@@ -40,6 +46,9 @@
 	/** Versions that the node keeps, as far as known: those that it named, then the last one sent. */
 	versions: readonly number[];
 
+	/** Position up to which the node knows the rows. */
+	rows: RowCursor | undefined;
+
 	/** Whether the last line still waits to be sent; the versions of meanwhile are merged into the next line. */
 	isBlocked: boolean;
 };
@@ -49,9 +58,10 @@
 	readonly #dependencies: RulesFeedDependencies;
 	readonly #receivers = new Set<FeedReceiver>();
 
-	/** Time of the last line to all receivers, and the freshness that it told. */
+	/** Time of the last line to all receivers, and the freshness and the change of rows that it told. */
 	#sentAt = Number.NEGATIVE_INFINITY;
 	#sentUntil = Number.NEGATIVE_INFINITY;
+	#sentChange = 0;
 
 	constructor(dependencies: RulesFeedDependencies) {
 		this.#dependencies = dependencies;
@@ -62,13 +72,15 @@
 		return this.#receivers.size;
 	}
 
-	/** Adds a node that keeps some versions, and sends to its output until that closes. */
-	add(output: Writable, versions: readonly number[]): void {
-		const receiver = {output, versions, isBlocked: false};
+	/** Adds a node at a position, and sends to its output until that closes. */
+	add(output: Writable, {versions, rows}: FeedPosition): void {
+		const receiver: FeedReceiver = {
+			output, versions, rows, isBlocked: false,
+		};
 		this.#receivers.add(receiver);
 		output.on('drain', () => {
 			receiver.isBlocked = false;
-			if (!receiver.versions.includes(this.#dependencies.history.version)) {
+			if (!receiver.versions.includes(this.#dependencies.history.version) || (receiver.rows?.revision ?? 0) < this.#dependencies.rows.changedAt) {
 				this.#send(receiver);
 			}
 		});
@@ -85,6 +97,7 @@
 	sendToAll(): void {
 		this.#sentAt = this.#dependencies.clock.now();
 		this.#sentUntil = this.#dependencies.getFreshness().until;
+		this.#sentChange = this.#dependencies.rows.changedAt;
 		for (const receiver of this.#receivers) {
 			this.#send(receiver);
 		}
@@ -92,10 +105,10 @@
 
 	/** Sends lines until the signal is aborted. */
 	async run(signal: AbortSignal): Promise<void> {
-		const {clock, getFreshness} = this.#dependencies;
+		const {clock, rows, getFreshness} = this.#dependencies;
 		while (!signal.aborted) {
-			await clock.sleep(pollIntervalMs, signal);
-			if (getFreshness().until > this.#sentUntil || clock.now() - this.#sentAt >= lineIntervalMs) {
+			await this.#waitForChange(signal);
+			if (getFreshness().until > this.#sentUntil || rows.changedAt !== this.#sentChange || clock.now() - this.#sentAt >= lineIntervalMs) {
 				this.sendToAll();
 			}
 		}
@@ -105,20 +118,50 @@
 		}
 	}
 
+	/** Waits until rows change, but not longer than the interval at which a new word from the store is looked for. */
+	async #waitForChange(signal: AbortSignal): Promise<void> {
+		const {clock, rows} = this.#dependencies;
+		const controller = new AbortController();
+		const stop = () => {
+			controller.abort();
+		};
+
+		signal.addEventListener('abort', stop);
+		await Promise.race([clock.sleep(pollIntervalMs, controller.signal), rows.waitForChange(controller.signal)]);
+		signal.removeEventListener('abort', stop);
+		stop();
+	}
+
 	#send(receiver: FeedReceiver): void {
 		if (receiver.isBlocked) {
 			return;
 		}
 
-		const {history, clock, getFreshness} = this.#dependencies;
+		const {
+			history, rows, clock, getFreshness,
+		} = this.#dependencies;
 		const {until, reader} = getFreshness();
 		const freshFor = Math.max(0, Math.round(until - clock.now()));
 		const update = history.encodeUpdate(receiver.versions);
-		const end = update === undefined ? '}' : `,"update":${update}}`;
+		const rowUpdate = rows.encodeUpdate(receiver.rows);
+		receiver.rows = mergeCursors(receiver.rows, rowUpdate);
+		const rowPart = rowUpdate === undefined ? '' : `,"rows":${JSON.stringify(rowUpdate)}`;
+		const updatePart = update === undefined ? '' : `,"update":${update}`;
 		if (update !== undefined) {
 			receiver.versions = [history.version];
 		}
 
-		receiver.isBlocked = !receiver.output.write(`{"version":${history.version},"freshFor":${freshFor},"reader":${JSON.stringify(reader)}${end}\n`);
+		receiver.isBlocked = !receiver.output.write(`{"version":${history.version},"freshFor":${freshFor},"reader":${JSON.stringify(reader)}${rowPart}${updatePart}}\n`);
 	}
 }
+
+/** Returns the later one of two positions. */
+function mergeCursors(left: RowCursor | undefined, right: RowCursor | undefined): RowCursor | undefined {
+	if (left === undefined || right === undefined) {
+		return right ?? left;
+	}
+
+	const isRightLater = right.era > left.era || (right.era === left.era && right.revision > left.revision);
+	const {era, revision} = isRightLater ? right : left;
+	return {era, revision};
+}
--- a/packages/node/src/rules-sync.ts
+++ b/packages/node/src/rules-sync.ts
@@ -5,6 +5,7 @@
 import {FeedFollower} from './feed-follower.js';
 import {type FeedTransport} from './feed-transport.js';
 import {type ReaderRanking} from './reader-ranking.js';
+import {type RowCache} from './row-cache.js';
 import {type Freshness} from './rules-feed.js';
 import {type RulesHistory} from './rules-history.js';
 import {StoreReading} from './store-reading.js';
@@ -16,6 +17,7 @@
 	readonly source: RuleSource;
 	readonly transport: FeedTransport;
 	readonly history: RulesHistory;
+	readonly rows: RowCache;
 	readonly ranking: ReaderRanking;
 	readonly clock: Clock;
 	readonly random: Random;
@@ -68,7 +70,7 @@
 
 	constructor(dependencies: RulesSyncDependencies) {
 		const {
-			id, source, transport, history, clock, onRules,
+			id, source, transport, history, rows, clock, onRules,
 		} = dependencies;
 		this.#dependencies = dependencies;
 		this.#reading = new StoreReading(source, onRules);
@@ -76,6 +78,7 @@
 			id,
 			transport,
 			history,
+			rows,
 			clock,
 			onRules,
 			onLine: () => {
@@ -88,6 +91,11 @@
 		});
 	}
 
+	/** Whether this node gets all from another node that has a fresh word from the store. */
+	get isFollowing(): boolean {
+		return this.#follower.hasLine && this.#follower.origin !== undefined && this.#isReaderFresh && !this.#reading.isActive;
+	}
+
 	/** Whether this node reads the store, and the last read failed. */
 	get isStoreUnavailable(): boolean {
 		return this.#reading.isActive && this.#dependencies.source.isUnavailable;
--- a/packages/stand-ins/src/event-clock.ts
+++ b/packages/stand-ins/src/event-clock.ts
@@ -23,8 +23,15 @@
 		return Math.floor(this.#now);
 	}
 
-	async sleep(duration: number): Promise<void> {
+	async sleep(duration: number, signal?: AbortSignal): Promise<void> {
+		if (signal?.aborted) {
+			return;
+		}
+
 		await new Promise<void>(resolve => {
+			signal?.addEventListener('abort', () => {
+				resolve();
+			});
 			this.#order++;
 			this.#push({wakeAt: this.#now + Math.max(0, duration), order: this.#order, wake: resolve});
 		});
--- a/packages/upstreams/src/mesh-listener.ts
+++ b/packages/upstreams/src/mesh-listener.ts
@@ -38,8 +38,8 @@
 	/** Returns the state of this node in JSON, as it is sent to another node; undefined where state requests are not served. */
 	readonly getState?: (query: StateQuery) => string;
 
-	/** Sends the versions of this node to the output until it closes; undefined where feeds are not served. */
-	readonly openFeed?: (output: ServerResponse, versions: readonly number[]) => void;
+	/** Sends the versions and rows of this node to the output until it closes, from the position in the parameters; undefined where feeds are not served. */
+	readonly openFeed?: (output: ServerResponse, parameters: URLSearchParams) => void;
 
 	/** Returns the active version of the rules on this node. */
 	readonly getVersion?: () => number;
@@ -148,14 +148,14 @@
 		}
 
 		const query = new URL(request.url!, 'http://node').searchParams;
-		const versions = (query.get('versions') ?? '').split(',').map(Number).filter(version => version > 0);
 		if (isState) {
+			const versions = (query.get('versions') ?? '').split(',').map(Number).filter(version => version > 0);
 			sendState(request, response, getState({versions, includeMembers: query.has('members')}));
 			return true;
 		}
 
 		response.writeHead(statusOk, {'content-type': 'application/x-ndjson'});
-		openFeed!(response, versions);
+		openFeed!(response, query);
 		return true;
 	}
 
