--- a/packages/node/src/rules-sync.ts
+++ b/packages/node/src/rules-sync.ts
@@ -5,6 +5,7 @@
 import {FeedFollower} from './feed-follower.js';
 import {type FeedTransport} from './feed-transport.js';
 import {type ReaderRanking} from './reader-ranking.js';
+import {type RowCache} from './row-cache.js';
 import {type Freshness} from './rules-feed.js';
 import {type RulesHistory} from './rules-history.js';
 import {StoreReading} from './store-reading.js';
@@ -16,6 +17,7 @@
 	readonly source: RuleSource;
 	readonly transport: FeedTransport;
 	readonly history: RulesHistory;
+	readonly rows: RowCache;
 	readonly ranking: ReaderRanking;
 	readonly clock: Clock;
 	readonly random: Random;
@@ -28,12 +30,12 @@
 /** Interval between two decisions that depend only on time; lines and ends of feeds cause one at once. */
 const decisionIntervalMs = 100;
 
+/** Delay of a decision from which on it is left out: lines that came meanwhile wait to be read. */
+const maxDecisionDelayMs = 100;
+
 /** Time in which a node must send the first line of its feed; a connection and a response within a region take a few milliseconds. */
 const firstLineTimeoutMs = 300;
 
-/** Time after the last bytes of a feed from which on its node counts as failed; two missing lines. */
-const silenceTimeoutMs = 700;
-
 /** Rest of the freshness below which a reader that stands by reads the store, so that its followers need not leave it. */
 const takeoverMs = 200;
 
@@ -49,8 +51,8 @@
 const maxAttemptBackoffMs = 2000;
 
 /** Bounds of the time between the loss of a fresh word from the store and the reading of the store itself. Other readers take over meanwhile; random, so that not all followers of a failed reader read at the same moment. */
-const minFallbackDelayMs = 300;
-const maxFallbackDelayMs = 550;
+const minFallbackDelayMs = 200;
+const maxFallbackDelayMs = 400;
 
 /** Reads the store, or follows a reader, and changes between both as needed. */
 export class RulesSync {
@@ -68,7 +70,7 @@
 
 	constructor(dependencies: RulesSyncDependencies) {
 		const {
-			id, source, transport, history, clock, onRules,
+			id, source, transport, history, rows, clock, onRules,
 		} = dependencies;
 		this.#dependencies = dependencies;
 		this.#reading = new StoreReading(source, onRules);
@@ -76,6 +78,7 @@
 			id,
 			transport,
 			history,
+			rows,
 			clock,
 			onRules,
 			onLine: () => {
@@ -88,6 +91,11 @@
 		});
 	}
 
+	/** Whether this node gets all from another node that has a fresh word from the store. */
+	get isFollowing(): boolean {
+		return this.#follower.hasLine && this.#follower.origin !== undefined && this.#isReaderFresh && !this.#reading.isActive;
+	}
+
 	/** Whether this node reads the store, and the last read failed. */
 	get isStoreUnavailable(): boolean {
 		return this.#reading.isActive && this.#dependencies.source.isUnavailable;
@@ -102,14 +110,20 @@
 
 	/** Keeps the rules current until the signal is aborted. */
 	async run(signal: AbortSignal): Promise<void> {
+		const {clock, transport} = this.#dependencies;
+		let dueAt = clock.now();
 		while (!signal.aborted) {
-			this.#update();
-			await this.#dependencies.clock.sleep(decisionIntervalMs, signal);
+			if (clock.now() - dueAt <= maxDecisionDelayMs) {
+				this.#update();
+			}
+
+			dueAt = clock.now() + decisionIntervalMs;
+			await clock.sleep(decisionIntervalMs, signal);
 		}
 
 		this.#follower.stop();
 		await this.#reading.stop();
-		await this.#dependencies.transport.close();
+		await transport.close();
 	}
 
 	get #isReaderFresh(): boolean {
@@ -138,18 +152,20 @@
 	#stopFailedFeed(): void {
 		const {clock, ranking} = this.#dependencies;
 		const {
-			origin, hasLine, startedAt, lastSignAt,
+			origin, hasLine, startedAt,
 		} = this.#follower;
 		if (origin === undefined) {
 			return;
 		}
 
-		if (clock.now() - lastSignAt > (hasLine ? silenceTimeoutMs : firstLineTimeoutMs)) {
-			this.#handleFailure(origin, hasLine ? 'silent' : 'no answer');
-		} else if (hasLine && this.#isReaderFresh) {
+		if (!hasLine) {
+			if (clock.now() - startedAt > firstLineTimeoutMs) {
+				this.#handleFailure(origin, 'no answer');
+			}
+		} else if (this.#isReaderFresh) {
 			this.#failures = 0;
 			ranking.release(origin);
-		} else if (hasLine && (this.#failures < minSlowFailures || clock.now() - startedAt > catchUpTimeoutMs)) {
+		} else if (this.#failures < minSlowFailures || clock.now() - startedAt > catchUpTimeoutMs) {
 			this.#handleFailure(origin, 'its last word from the store is too old');
 		}
 	}
