Bundle only what the program on the users' platform uses

Nodes became ready late: each start compiles and runs the whole bundle, and a VM has 0.27 of a core for it. Of its 2.5 MB, 1.1 MB were gRPC and protobuf, of which the program uses two enums, and fetch, caches, cookies and web sockets of undici and the push gateway of prom-client, which load TLS.

The build for the platform drops gRPC where none of its exports is used, and takes undici's pools and prom-client's metrics from their own modules. An import that these modules lack fails the build.

--- a/scripts/build.js
+++ b/scripts/build.js
@@ -6,7 +6,7 @@
  */
 import {execFileSync} from 'node:child_process';
 import {
-	chmodSync, copyFileSync, mkdirSync, writeFileSync,
+	chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync,
 } from 'node:fs';
 import process from 'node:process';
 import {build} from 'esbuild';
@@ -15,9 +15,37 @@
 const sharedOptions = {
 	bundle: true, platform: 'node', target: 'node20', logLevel: 'warning', minifySyntax: true, legalComments: 'none',
 };
+
+/** Lets esbuild drop gRPC where none of its exports is used. */
+const dropUnusedGrpc = {
+	name: 'drop-unused-grpc',
+	setup({onLoad, onResolve, resolve}) {
+		// eslint-disable-next-line require-unicode-regexp -- Esbuild takes filters of Go, without flags.
+		onResolve({filter: /^@grpc\/grpc-js$/}, async ({path, pluginData, ...options}) => {
+			if (pluginData === dropUnusedGrpc.name) {
+				return undefined;
+			}
+
+			const found = await resolve(path, {...options, pluginData: dropUnusedGrpc.name});
+			return {...found, sideEffects: false};
+		});
+		// eslint-disable-next-line require-unicode-regexp -- As above.
+		onLoad({filter: /generated\/peers\.ts$/}, ({path}) => ({
+			loader: 'ts', contents: readFileSync(path, 'utf8').replace('= makeGenericClientConstructor(', '= /* @__PURE__ */ makeGenericClientConstructor('),
+		}));
+	},
+};
+
 if (process.argv.includes('--platform')) {
+	// Each start compiles and runs all of the bundle, so it contains only what the program uses.
 	await build({
-		...sharedOptions, entryPoints: ['platform/src/platform.ts'], outfile: 'target/ebonylead.cjs', format: 'cjs',
+		...sharedOptions,
+		entryPoints: ['platform/src/platform.ts'],
+		outfile: 'target/ebonylead.cjs',
+		format: 'cjs',
+		minifyWhitespace: true,
+		plugins: [dropUnusedGrpc],
+		alias: {undici: './scripts/lean/undici.js', 'prom-client': './scripts/lean/prom-client.js'},
 	});
 	process.exit(0);
 }
