--- a/packages/callers/src/callers.ts
+++ b/packages/callers/src/callers.ts
@@ -13,6 +13,7 @@
 import {type ActiveVersion} from '@ebonylead/rules/active-version.js';
 import {listenOn} from '@ebonylead/base/listening.js';
 import {outcomes, type Refusal} from '@ebonylead/upstreams/upstreams.js';
+import {type AttemptProber} from './attempt-prober.js';
 import {type CallAges} from './call-ages.js';
 import {type BurnCounters} from './burn-counters.js';
 import {type CallerProtocol} from './caller-protocol.js';
@@ -28,6 +29,7 @@
 	readonly activeVersion: ActiveVersion;
 	readonly chooser: TargetChooser;
 	readonly pools: MeshPools;
+	readonly attemptProber: AttemptProber;
 	readonly protocol: CallerProtocol;
 	readonly callAges: CallAges;
 	readonly retryBudget: RetryBudget;
@@ -51,6 +53,9 @@
 
 /** Keep-alive timeout of callers' connections until `setLimits` is called. */
 const keepAliveTimeoutMs = 30_000;
+
+/** Interval between two searches for connections whose request header has taken too long; Node's default is 30 s. */
+const headerCheckIntervalMs = 500;
 const maxHeaderBytes = 16 * 1024;
 const statusTooLarge = 413;
 const statusUnavailable = 503;
@@ -69,7 +74,8 @@
 
 	constructor(dependencies: CallerListenerDependencies) {
 		this.#dependencies = dependencies;
-		this.#server = createServer({keepAliveTimeout: keepAliveTimeoutMs, maxHeaderSize: maxHeaderBytes}, (request, response) => {
+		const options = {keepAliveTimeout: keepAliveTimeoutMs, maxHeaderSize: maxHeaderBytes, connectionsCheckingInterval: headerCheckIntervalMs};
+		this.#server = createServer(options, (request, response) => {
 			void this.#handleRequest(request, response);
 		});
 	}
--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -4,6 +4,8 @@
 import {DecisionLog} from '@ebonylead/base/decision-log.js';
 import {createPartLogger, type Logger} from '@ebonylead/base/logs.js';
 import {SystemRandom} from '@ebonylead/base/random.js';
+import {AttemptProber} from '@ebonylead/callers/attempt-prober.js';
+import {HttpAttemptProbe} from '@ebonylead/callers/http-attempt-probe.js';
 import {CallAges} from '@ebonylead/callers/call-ages.js';
 import {BurnCounters} from '@ebonylead/callers/burn-counters.js';
 import {CallMetrics} from '@ebonylead/callers/call-metrics.js';
@@ -27,7 +29,12 @@
 import {type UpstreamProtocol} from '@ebonylead/upstreams/upstream-protocol.js';
 import {type Registry} from 'prom-client';
 import {MemberDirectory} from './member-directory.js';
-import {PeerStateFetcher, type PeerState} from './peer-state.js';
+import {HttpFeedTransport} from './feed-transport.js';
+import {PeerStateFetcher, encodeState, type PeerState} from './peer-state.js';
+import {ReaderRanking} from './reader-ranking.js';
+import {RulesFeed} from './rules-feed.js';
+import {RulesHistory} from './rules-history.js';
+import {RulesSync} from './rules-sync.js';
 import {AnnouncementHandler} from './announcement-handler.js';
 
 /** Settings of a mesh node. */
@@ -46,6 +53,9 @@
 	/** Port for callers on this VM. */
 	readonly callerPort: number;
 
+	/** Bandwidth of the VM's link in kbit/s; undefined if it is not known. */
+	readonly linkRate?: number;
+
 	/** Number of retries that all nodes together may make in addition to the ratio; divided evenly among the nodes. */
 	readonly retrySlack: number;
 
@@ -80,6 +90,12 @@
 const responseFlushMs = 150;
 const drainPollIntervalMs = 20;
 
+/** Number of readers in each data centre: one reads the rules from the store for the others, one stands by. */
+const readerCount = 2;
+
+/** Turns of the event loop before the connections are closed: one to accept connections, one to read their requests, and one to refuse these. */
+const finalReadTurns = 3;
+
 /** Exclusive upper bound of the random `instance` of a member: an unsigned 32-bit number, as in the messages between peers. */
 const instanceLimit = 0x1_00_00_00_00;
 
@@ -100,9 +116,9 @@
 	readonly #meshListener: MeshListener;
 	readonly #callerListener: CallerListener;
 	readonly #stateFetcher: PeerStateFetcher;
-
-	/** Active rules, as peers can fetch them. */
-	#rules: AcceptedRules | undefined;
+	readonly #history = new RulesHistory();
+	readonly #rulesSync: RulesSync;
+	readonly #rulesFeed: RulesFeed;
 
 	/** Whether a peer has sent members; then the node can serve before it has read the store. */
 	#hasPeerMembers = false;
@@ -135,11 +151,16 @@
 			decisionLog: new DecisionLog(this.#createLog('mesh'), clock),
 			refusalMetrics: new RefusalMetrics(registry),
 			getState: query => this.#getState(query),
+			openFeed: (output, versions) => {
+				this.#rulesFeed.add(output, versions);
+			},
 			getVersion: () => this.#activeVersion.version,
 			onVersion: (version, origin) => {
 				this.#stateFetcher.recordVersion(version, origin);
 			},
 		});
+		this.#rulesSync = this.#createRulesSync();
+		this.#rulesFeed = new RulesFeed({history: this.#history, clock, getFreshness: () => this.#rulesSync.freshness});
 		this.#stateFetcher = new PeerStateFetcher({
 			self: this.#directory.self,
 			seedHosts: settings.seedHosts,
@@ -147,8 +168,9 @@
 			clock,
 			random,
 			log: this.#createLog('peers'),
-			isStoreUnavailable: () => dependencies.ruleSource.isUnavailable || this.#directory.isUnavailable,
+			isStoreUnavailable: () => this.#rulesSync.isStoreUnavailable || this.#directory.isUnavailable,
 			getVersion: () => this.#activeVersion.version,
+			listVersions: () => this.#history.listVersions(),
 			onState: state => {
 				this.#mergeState(state);
 			},
@@ -157,9 +179,10 @@
 			activeVersion: this.#activeVersion,
 			chooser: new TargetChooser(this.#membership, settings.dataCentre, clock, random),
 			pools: this.#pools,
+			attemptProber: new AttemptProber(new HttpAttemptProbe(), clock),
 			protocol: callerProtocol,
 			callAges: new CallAges(),
-			retryBudget: new RetryBudget(settings.retryRatio, () => settings.retrySlack / Math.max(1, this.#membership.aliveCount)),
+			retryBudget: new RetryBudget(settings.retryRatio, () => settings.retrySlack / Math.max(1, this.#membership.aliveCount), clock, random),
 			metrics: new CallMetrics(registry),
 			requestIds: new RequestIds(random),
 			burnCounters: new BurnCounters(clock),
@@ -182,13 +205,12 @@
 
 	/** Opens the listeners and starts the background tasks. */
 	async start(): Promise<void> {
-		const {settings, ruleSource} = this.#dependencies;
+		const {settings} = this.#dependencies;
 		const {signal} = this.#controller;
 		await this.#meshListener.listen(settings.host, settings.meshPort);
 		await this.#callerListener.listen(settings.host, settings.callerPort);
-		this.#runTask('rules', ruleSource.run(signal, (rules, routeTable) => {
-			this.#applyRules(rules, routeTable);
-		}));
+		this.#runTask('rules', this.#rulesSync.run(signal));
+		this.#runTask('rules feed', this.#rulesFeed.run(signal));
 		this.#runTask('members', this.#directory.run(signal));
 		this.#runTask('peers', this.#stateFetcher.run(signal));
 		this.#runTask('upstream', this.#localUpstream.run(signal));
@@ -220,6 +242,7 @@
 		const cut = this.#inFlightCount;
 		this.#callerListener.cancelCalls('this node stops');
 		await this.#clock.sleep(responseFlushMs);
+		await this.#readArrivedRequests();
 		this.#log.info({cut, duration: Math.round(this.#clock.now() - startedAt)}, 'Stopped');
 		await this.close();
 		return cut;
@@ -243,18 +266,46 @@
 		return this.#callerListener.inFlightCount + this.#meshListener.inFlightCount;
 	}
 
-	#getState({version, includeMembers}: StateQuery): PeerState {
-		return {
-			rules: version < this.#activeVersion.version ? this.#rules : undefined,
-			members: includeMembers ? this.#membership.listAll().filter(member => member.state === MemberState.ALIVE) : [],
-		};
+	#createRulesSync(): RulesSync {
+		const {settings, ruleSource} = this.#dependencies;
+		const clock = this.#clock;
+		const random = this.#random;
+		return new RulesSync({
+			id: settings.id,
+			source: ruleSource,
+			transport: new HttpFeedTransport(),
+			history: this.#history,
+			ranking: new ReaderRanking({
+				id: settings.id, dataCentre: settings.dataCentre, membership: this.#membership, clock, random, readerCount,
+			}),
+			clock,
+			random,
+			log: this.#createLog('rules'),
+			onRules: (rules, routeTable) => {
+				this.#applyRules(rules, routeTable);
+			},
+		});
+	}
+
+	/** Reads what has arrived while this process got no processor time, so that it is refused and not cut. */
+	async #readArrivedRequests(): Promise<void> {
+		for (let turn = 0; turn < finalReadTurns; turn++) {
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		}
+	}
+
+	#getState({versions, includeMembers}: StateQuery): string {
+		const members = includeMembers ? this.#membership.listAll().filter(member => member.state === MemberState.ALIVE) : [];
+		return encodeState(this.#history.encodeUpdate(versions), members);
 	}
 
-	#mergeState({rules, members}: PeerState): void {
+	#mergeState({update, members}: PeerState): void {
 		this.#membership.merge(members.filter(member => member.id !== this.#dependencies.settings.id), this.#clock.now());
 		this.#hasPeerMembers ||= members.length > 0;
-		if (rules) {
-			this.#applyRules(rules);
+		if (update && update.version > this.#history.version) {
+			this.#applyRules(this.#history.decodeUpdate(update));
 		}
 	}
 
@@ -265,7 +316,8 @@
 			return;
 		}
 
-		this.#rules = rules;
+		this.#history.add(rules);
+		this.#rulesFeed.sendToAll();
 		if (limits) {
 			this.#callerListener.setLimits(limits);
 		}
@@ -274,7 +326,7 @@
 	}
 
 	#buildMember(): Member {
-		const {id, dataCentre, region, host, meshPort} = this.#dependencies.settings;
+		const {id, dataCentre, region, host, meshPort, linkRate} = this.#dependencies.settings;
 		return {
 			id,
 			incarnation: 0,
@@ -288,6 +340,7 @@
 			upstreamState: UpstreamState.ABSENT,
 			slots: 0,
 			instance: Math.floor(this.#random.next() * instanceLimit),
+			linkRate,
 		};
 	}
 
--- a/packages/upstreams/src/admission.ts
+++ b/packages/upstreams/src/admission.ts
@@ -1,7 +1,10 @@
 /** Admission control of the sidecar: decides which calls run now, which wait in the queue, and which are refused. */
 import {type Clock} from '@ebonylead/base/base.js';
 import {buildAdmissionRefusal, type AdmissionRefusalCause} from './admission-refusals.js';
+import {AdmissionQueue, type QueuedCall} from './admission-queue.js';
 import {type Cancellation} from './cancellation.js';
+import {RunningCalls} from './running-calls.js';
+import {SlotSchedule} from './slot-schedule.js';
 import {PriorityUsage, ServiceTimes} from './service-times.js';
 import {refusalCauses, type SidecarRefusal} from './upstreams.js';
 
@@ -37,17 +40,6 @@
 	= | {readonly kind: 'admitted'; readonly release: () => void}
 		| {readonly kind: 'refused'; readonly refusal: SidecarRefusal};
 
-type QueuedCall = {
-	readonly request: AdmissionRequest;
-
-	/** Priority in the queue: that of the request, or `shortCallPriority`. */
-	readonly priority: number;
-
-	/** Whether the call was expected to miss its objective when it arrived; it gets only slots that would otherwise be idle. */
-	readonly isBestEffort: boolean;
-	readonly resolve: (admission: Admission) => void;
-};
-
 /** Load in calls per slot that is reported after `close`, while the upstream is draining or absent. */
 const closedLoad = 1000;
 
@@ -55,7 +47,13 @@
 const maxQueuedPerSlot = 4;
 
 /** Maximum number of queued calls per slot that are expected to miss their objective; they fill slots that would be idle. */
-const maxBestEffortPerSlot = 0.25;
+const maxBestEffortPerSlot = 0.05;
+
+/** Time in milliseconds after the last call that was expected to meet its objective during which one slot is kept free for the next one. */
+const reservationMs = 300;
+
+/** Minimum number of slots of an upstream that keeps one free. */
+const minReservingSlots = 3;
 
 /** A call counts as short if at most this time is left until its deadline: calls between services have 400 to 650 ms, calls from outside 800 ms and more. */
 const maxShortCallMs = 700;
@@ -69,6 +67,9 @@
 /** Interval between two checks of the deadlines of queued calls. */
 const sweepIntervalMs = 10;
 
+/** Minimum interval between two checks of whether the queued calls can still end before their deadlines. */
+const forecastIntervalMs = 50;
+
 /** Mean duration of a call that is assumed before the first one has ended. */
 const initialMeanMs = 5;
 
@@ -85,7 +86,8 @@
  * priority first, then to calls that can still meet their objective, then to
  * the callers in round robin, then to the earliest objective. Under overload a
  * call that would miss its objective is refused at once while others can meet
- * theirs, so that the calls that are served are served in time. When the queue
+ * theirs, so that the calls that are served are served in time; one that is
+ * late leaves the last free slot to those that are in time. When the queue
  * is full, the oldest call of the caller with the most queued calls of the
  * lowest priority is refused.
  */
@@ -93,17 +95,15 @@
 	readonly #clock: Clock;
 	readonly #serviceTimes = new ServiceTimes(initialMeanMs);
 	readonly #priorityUsage = new PriorityUsage();
-	readonly #runningByRoute = new Map<string, number>();
+	readonly #running = new RunningCalls();
+	readonly #queue = new AdmissionQueue();
 
-	/** Value of `#turnCount` when each caller last got a slot from the queue. */
-	readonly #lastTurns = new Map<string, number>();
-	#turnCount = 0;
-	readonly #queue: QueuedCall[] = [];
+	/** Time of the last call of each priority that was expected to meet its objective. */
+	readonly #timelyCallTimes = new Map<number, number>();
 	#slots: number;
-	#running = 0;
 	#isClosed = false;
-	#isExclusiveRunning = false;
 	#isSweeping = false;
+	#forecastAt = 0;
 
 	constructor(clock: Clock, slots: number) {
 		this.#clock = clock;
@@ -116,12 +116,12 @@
 			return closedLoad;
 		}
 
-		return this.#slots === 0 ? 1 : (this.#running + this.#queue.length) / this.#slots;
+		return this.#slots === 0 ? 1 : (this.#running.count + this.#queue.length) / this.#slots;
 	}
 
 	/** Number of running calls. */
 	get running(): number {
-		return this.#running;
+		return this.#running.count;
 	}
 
 	/** Number of queued calls. */
@@ -143,9 +143,7 @@
 	/** Refuses all new and queued calls; running calls are not affected. */
 	close(): void {
 		this.#isClosed = true;
-		for (const queued of this.#queue) {
-			this.#refuse(queued, refusalCauses.leaving);
-		}
+		this.#refuseAll(this.#queue.removeAll(), refusalCauses.leaving);
 	}
 
 	/** Admits calls again after `close`. */
@@ -161,80 +159,68 @@
 
 		const isShort = this.#isShort(request);
 		const priority = isShort ? shortCallPriority : request.priority;
-		const isImmediate = this.#queue.length === 0 && this.#canStartNow(request);
-		const expectedEnd = this.#clock.now() + (isImmediate ? 0 : this.#estimateWait(request, priority)) + this.#serviceTimes.estimate(request.route);
+		const now = this.#clock.now();
+		const isImmediate = this.#queue.length === 0 && this.#canStart(request);
+		const expectedEnd = now + (isImmediate ? 0 : this.#estimateWait(request, priority)) + this.#serviceTimes.estimate(request.route);
 		if (expectedEnd > request.deadline) {
 			return this.#buildRefusal(request, refusalCauses.deadline);
 		}
 
+		const isBestEffort = expectedEnd > request.objective && !isShort;
+		if (!isBestEffort) {
+			this.#timelyCallTimes.set(priority, now);
+		}
+
 		if (isImmediate) {
 			return this.#startCall(request, priority);
 		}
 
-		const isBestEffort = expectedEnd > request.objective && !isShort;
-		if (isBestEffort && this.#countBestEffort() >= this.#slots * maxBestEffortPerSlot) {
+		if (isBestEffort && this.#queue.bestEffortCount >= this.#slots * maxBestEffortPerSlot) {
 			return this.#buildRefusal(request, refusalCauses.objective);
 		}
 
 		return this.#waitForSlot(request, priority, isBestEffort);
 	}
 
-	#canStartNow(request: AdmissionRequest): boolean {
-		if (this.#isExclusiveRunning || (request.isExclusive && this.#running > 0)) {
-			return false;
-		}
-
-		if (!request.isExclusive && this.#queue.some(queued => queued.request.isExclusive)) {
+	#canStart(request: AdmissionRequest): boolean {
+		if (this.#running.hasExclusive || (request.isExclusive && this.#running.count > 0)) {
 			return false;
 		}
 
-		const routeCount = this.#runningByRoute.get(request.route) ?? 0;
-		return this.#running < this.#slots && routeCount < (request.routeSlots ?? this.#slots);
+		return this.#running.count < this.#slots && this.#running.countRoute(request.route) < (request.routeSlots ?? this.#slots);
 	}
 
 	#startCall(request: AdmissionRequest, priority: number): Admission {
-		const startedAt = this.#clock.now();
+		const call = {route: request.route, startedAt: this.#clock.now(), isExclusive: request.isExclusive ?? false};
 		let isReleased = false;
-		this.#running++;
-		this.#isExclusiveRunning = request.isExclusive ?? false;
-		this.#runningByRoute.set(request.route, (this.#runningByRoute.get(request.route) ?? 0) + 1);
+		this.#running.add(call);
 		const release = () => {
 			if (isReleased) {
 				return;
 			}
 
 			isReleased = true;
-			this.#release(request, priority, this.#clock.now() - startedAt);
+			const now = this.#clock.now();
+			this.#running.remove(call);
+			this.#serviceTimes.record(call.route, now - call.startedAt);
+			this.#priorityUsage.record(priority, now - call.startedAt, now);
+			this.#startQueued();
 		};
 
 		return {kind: 'admitted', release};
 	}
 
-	#release(request: AdmissionRequest, priority: number, duration: number): void {
-		this.#running--;
-		this.#isExclusiveRunning = false;
-		this.#serviceTimes.record(request.route, duration);
-		this.#priorityUsage.record(priority, duration, this.#clock.now());
-		const remaining = (this.#runningByRoute.get(request.route) ?? 1) - 1;
-		if (remaining === 0) {
-			this.#runningByRoute.delete(request.route);
-		} else {
-			this.#runningByRoute.set(request.route, remaining);
-		}
-
-		this.#startQueued();
-	}
-
 	async #waitForSlot(request: AdmissionRequest, priority: number, isBestEffort: boolean): Promise<Admission> {
 		return new Promise(resolve => {
 			const queued: QueuedCall = {
 				request, priority, isBestEffort, resolve,
 			};
-			this.#queue.push(queued);
+			this.#queue.add(queued);
 			if (this.#queue.length > this.#slots * maxQueuedPerSlot) {
-				this.#refuseLowestPriority();
+				this.#refuse(this.#queue.findLowestPriority()!, refusalCauses.queueFull);
 			}
 
+			this.#startQueued();
 			void this.#runDeadlineSweep();
 			request.cancellation.addListener(() => {
 				this.#refuse(queued, refusalCauses.cancelled);
@@ -252,6 +238,7 @@
 		while (this.#queue.length > 0) {
 			await this.#clock.sleep(sweepIntervalMs);
 			this.#refuseNearDeadline();
+			this.#startQueued();
 		}
 
 		this.#isSweeping = false;
@@ -259,95 +246,95 @@
 
 	#refuseNearDeadline(): void {
 		const now = this.#clock.now();
-		for (const queued of this.#queue) {
-			const {deadline, route} = queued.request;
-			if (deadline < now + Math.max(minRefusalMarginMs, this.#serviceTimes.estimate(route))) {
-				this.#refuse(queued, refusalCauses.deadlineNear);
-			}
+		const near = this.#queue.listAll().filter(({request: {deadline, route}}) => deadline < now + Math.max(minRefusalMarginMs, this.#serviceTimes.estimate(route)));
+		for (const queued of near) {
+			this.#queue.remove(queued);
+		}
+
+		this.#refuseAll(near, refusalCauses.deadlineNear);
+		if (this.#serviceTimes.hasSamples && now - this.#forecastAt >= forecastIntervalMs) {
+			this.#forecastAt = now;
+			this.#refuseHopeless();
 		}
 	}
 
-	/** Refuses the oldest call of the caller that has the most queued calls of the lowest priority. */
-	#refuseLowestPriority(): void {
-		const lowestPriority = Math.max(...this.#queue.map(({priority}) => priority));
-		const candidates = this.#queue.filter(({priority}) => priority === lowestPriority);
-		const queuedByCaller = new Map<string, number>();
-		for (const {request} of candidates) {
-			queuedByCaller.set(request.caller, (queuedByCaller.get(request.caller) ?? 0) + 1);
+	/** Refuses queued calls that won't end before their deadlines, even if no call of a higher priority arrives. */
+	#refuseHopeless(): void {
+		const now = this.#clock.now();
+		const schedule = this.#buildSchedule();
+		const hopeless: QueuedCall[] = [];
+		for (const queued of this.#queue.listInOrder(call => this.#isExpectedLate(call))) {
+			const duration = this.#serviceTimes.estimate(queued.request.route);
+			if (now + schedule.nextFreeTime + duration > queued.request.deadline) {
+				hopeless.push(queued);
+			} else {
+				schedule.add(duration);
+			}
+		}
+
+		for (const queued of hopeless) {
+			this.#queue.remove(queued);
 		}
 
-		const longestQueue = Math.max(...queuedByCaller.values());
-		const refused = candidates.find(({request}) => queuedByCaller.get(request.caller) === longestQueue);
-		if (refused) {
-			this.#refuse(refused, refusalCauses.queueFull);
+		if (hopeless.length > 0) {
+			this.#refuseAll(hopeless, refusalCauses.deadlineNear);
 		}
 	}
 
 	#refuse(queued: QueuedCall, cause: AdmissionRefusalCause): void {
-		if (this.#remove(queued)) {
-			queued.resolve(this.#buildRefusal(queued.request, cause));
-			// The others may have been waiting behind an exclusive call.
-			this.#startQueued();
+		if (this.#queue.remove(queued)) {
+			this.#refuseAll([queued], cause);
 		}
 	}
 
-	#remove(queued: QueuedCall): boolean {
-		const index = this.#queue.indexOf(queued);
-		if (index !== -1) {
-			this.#queue.splice(index, 1);
+	/** Refuses calls that were removed from the queue. */
+	#refuseAll(removed: readonly QueuedCall[], cause: AdmissionRefusalCause): void {
+		for (const {request, resolve} of removed) {
+			resolve(this.#buildRefusal(request, cause));
 		}
 
-		return index !== -1;
+		// The others may have been waiting behind an exclusive call.
+		this.#startQueued();
 	}
 
 	/** Assigns free slots to queued calls in their order. */
 	#startQueued(): void {
-		while (this.#running < this.#slots) {
+		while (this.#running.count < this.#slots) {
 			const next = this.#findNext();
 			if (next === undefined) {
 				return;
 			}
 
 			const {request} = next;
-			this.#remove(next);
-			this.#turnCount++;
-			this.#lastTurns.set(request.caller, this.#turnCount);
+			this.#queue.recordTurn(next);
+			this.#queue.remove(next);
 			if (this.#clock.now() + this.#serviceTimes.estimate(request.route) > request.deadline) {
 				next.resolve(this.#buildRefusal(request, refusalCauses.deadlineNear));
 			} else {
 				next.resolve(this.#startCall(request, next.priority));
 			}
 		}
-
-		if (this.#queue.length === 0) {
-			this.#lastTurns.clear();
-		}
 	}
 
+	/** Finds the queued call that starts next; a queued exclusive call holds up the others. */
 	#findNext(): QueuedCall | undefined {
-		const exclusive = this.#queue.find(queued => queued.request.isExclusive);
-		const candidates = exclusive ? [exclusive] : this.#queue;
-		let best: QueuedCall | undefined;
-		for (const queued of candidates) {
-			if (this.#canStartQueued(queued.request) && (best === undefined || this.#compare(queued, best) < 0)) {
-				best = queued;
-			}
-		}
-
-		return best;
+		const exclusive = this.#queue.findExclusive();
+		const candidates = exclusive ? [exclusive] : this.#queue.listInOrder(queued => this.#isExpectedLate(queued));
+		return candidates.find(queued => this.#canStart(queued.request) && !this.#isHeldBack(queued));
 	}
 
-	/** Whether a queued call may start; `#startQueued` has checked that a slot is free. */
-	#canStartQueued(request: AdmissionRequest): boolean {
-		const routeCount = this.#runningByRoute.get(request.route) ?? 0;
-		return !this.#isExclusiveRunning && !(request.isExclusive && this.#running > 0) && routeCount < (request.routeSlots ?? this.#slots);
+	/** Whether a queued call leaves the last free slot to calls of at least its priority that can still meet their objective, as one arrived lately. */
+	#isHeldBack(queued: QueuedCall): boolean {
+		return this.#slots >= minReservingSlots
+			&& this.#running.count >= this.#slots - 1
+			&& queued.priority !== shortCallPriority
+			&& this.#isExpectedLate(queued)
+			&& this.#hasRecentTimelyCall(queued.priority);
 	}
 
-	#compare(left: QueuedCall, right: QueuedCall): number {
-		return left.priority - right.priority
-			|| Number(this.#isExpectedLate(left)) - Number(this.#isExpectedLate(right))
-			|| (this.#lastTurns.get(left.request.caller) ?? 0) - (this.#lastTurns.get(right.request.caller) ?? 0)
-			|| left.request.objective - right.request.objective;
+	#hasRecentTimelyCall(lowestPriority: number): boolean {
+		const since = this.#clock.now() - reservationMs;
+		return [...this.#timelyCallTimes].some(([priority, time]) => priority <= lowestPriority && priority !== shortCallPriority && time > since);
 	}
 
 	/** Whether the call is expected to miss its objective. */
@@ -365,29 +352,28 @@
 		return deadline - now <= maxShortCallMs && objective > now + 1;
 	}
 
-	#countBestEffort(): number {
-		return this.#queue.filter(queued => queued.isBestEffort).length;
-	}
-
 	/**
-	 * Estimates the time in milliseconds until a call gets a slot: the service
-	 * times of the queued calls ahead of it and of one running call, divided by
-	 * the slots that calls of higher priority leave free.
+	 * Estimates the time in milliseconds until a call gets a slot, behind the
+	 * running calls and the queued ones ahead of it. It is longer the more slots
+	 * are used by calls of higher priority, which may arrive later.
 	 */
 	#estimateWait(request: AdmissionRequest, priority: number): number {
+		const schedule = this.#buildSchedule();
+		const slots = Math.max(1, this.#slots);
 		let queuedMs = this.#serviceTimes.mean;
-		for (const queued of this.#queue) {
-			queuedMs += this.#isBefore(queued, request, priority) ? this.#serviceTimes.estimate(queued.request.route) : 0;
+		for (const queued of this.#queue.listBefore(request, priority)) {
+			const duration = this.#serviceTimes.estimate(queued.request.route);
+			queuedMs += duration;
+			schedule.add(duration);
 		}
 
-		const slots = Math.max(1, this.#slots);
-		const freeSlots = Math.max(slots * minFreeShare, slots - this.#priorityUsage.computeHigherPriorityUsage(priority, this.#clock.now()));
-		return queuedMs / freeSlots;
+		const freeShare = 1 - (this.#priorityUsage.computeHigherPriorityUsage(priority, this.#clock.now()) / slots);
+		return Math.max(schedule.nextFreeTime, queuedMs / slots) / Math.max(minFreeShare, freeShare);
 	}
 
-	/** Whether a queued call gets a slot before a new one. */
-	#isBefore({request, priority, isBestEffort}: QueuedCall, other: AdmissionRequest, otherPriority: number): boolean {
-		return priority < otherPriority || (priority === otherPriority && !isBestEffort && request.objective <= other.objective);
+	#buildSchedule(): SlotSchedule {
+		const remainingTimes = this.#running.estimateRemainingTimes(this.#clock.now(), route => this.#serviceTimes.estimate(route));
+		return new SlotSchedule(Math.max(1, this.#slots), remainingTimes);
 	}
 
 	#buildRefusal(request: AdmissionRequest, cause: AdmissionRefusalCause): Admission {
