Keep the ejection of upstreams that never reported a load

Calls were sent to an upstream that could not be reached, although it was ejected, and its ejections began anew at two seconds. After ten minutes of uptime the removal of stale states dropped every upstream without a reported load, as its last report counted as made at time zero. The end of an ejection and the start of an upstream count as well now.

npx ava packages/callers/src/test/target-chooser_test.ts: the new test failed before (no exclusion in place of 'ejected'); 5 pass now.

--- a/packages/callers/src/target-chooser.ts
+++ b/packages/callers/src/target-chooser.ts
@@ -68,7 +68,7 @@
 const minFullMs = 10;
 const maxFullMs = 40;
 
-/** The state of an upstream without attempts in flight is dropped this long after its last reported load. */
+/** The state of an upstream without attempts in flight is dropped this long after its last reported load, its last ejection and its start. */
 const stateTtlMs = 600_000;
 
 /** Number of choices between two removals of stale states. */
@@ -264,7 +264,7 @@
 
 		const now = this.#clock.now();
 		for (const [id, state] of this.#states) {
-			if (state.inFlight === 0 && now - state.reportedAt > stateTtlMs) {
+			if (state.inFlight === 0 && now - Math.max(state.reportedAt, state.ejectedUntil, state.readySince) > stateTtlMs) {
 				this.#states.delete(id);
 			}
 		}
--- a/packages/callers/src/test/target-chooser_test.ts
+++ b/packages/callers/src/test/target-chooser_test.ts
@@ -48,4 +48,28 @@
 			});
 		}
 	});
+
+	describe('with several upstreams', () => {
+		const longestEjectionMs = 60_000;
+		const choicesPerSweep = 10_000;
+
+		function createLocalChooser(clock: FakeClock, members: readonly Member[]): TargetChooser {
+			const membership = new Membership();
+			membership.merge(members, clock.now());
+			return new TargetChooser(membership, 'a', clock, new SeededRandom(1));
+		}
+
+		it('keeps the ejection of one that never reported a load', async t => {
+			const clock = new FakeClock();
+			const members = [buildMember('unreachable', 'a'), buildMember('other', 'a'), buildMember('third', 'a')] as const;
+			const chooser = createLocalChooser(clock, members);
+			await clock.advance(longestEjectionMs * 20);
+			chooser.recordUnreachable(members[0]);
+			for (let choice = 0; choice < choicesPerSweep; choice++) {
+				chooser.choose('s', route, new Set());
+			}
+
+			t.is(chooser.findExclusion(members[0]), 'ejected');
+		});
+	});
 });
