Compare four upstreams for a choice, by the mean load where reports are old

In a deployment of 70 nodes calls went to busy upstreams while others had free slots. A node calls one upstream every two seconds or so; a load that was reported before that counted as next to none, so that the choice between two was mostly one between unknown upstreams.

Recorded loads are bounded, as a closed sidecar reports 1,000.

--- a/packages/callers/src/target-chooser.ts
+++ b/packages/callers/src/target-chooser.ts
@@ -38,8 +38,21 @@
 /** If more than this share of a service's upstreams is ejected, the ejected ones are candidates again. */
 const maxEjectedShare = 1 / 3;
 
-/** Half-life in milliseconds of a reported load, whose weight decays with its age. */
-const loadHalfLifeMs = 1000;
+/** Half-life in milliseconds of a reported load: the older it is, the more the mean load of the service counts in its place. */
+const loadHalfLifeMs = 3000;
+
+/** Maximum load in calls per slot that is recorded; sidecars that are closed report a far higher one. */
+const maxReportedLoad = 5;
+
+/** Weight of a reported load in the mean load of its service. */
+const meanLoadWeight = 0.1;
+
+/** Bounds of the number of random candidates that are compared for each choice. */
+const minSampleSize = 2;
+const maxSampleSize = 4;
+
+/** Maximum share of the candidates that are compared beyond the minimum: if all were, all calls would go to the same one until it reported again. */
+const maxSampleShare = 0.5;
 
 /** Duration in milliseconds of the slow start, in which the share of calls that a new upstream gets grows to its full size. */
 const slowStartMs = 5000;
@@ -75,7 +88,7 @@
 const choicesPerSweep = 10_000;
 
 /**
- * Chooses the less loaded of two random candidates ("power of two choices"),
+ * Chooses the least loaded of a few random candidates ("power of d choices"),
  * with preference for the data centre that the rule names.
  */
 export class TargetChooser {
@@ -84,6 +97,9 @@
 	readonly #clock: Clock;
 	readonly #random: Random;
 	readonly #states = new Map<string, TargetState>();
+
+	/** Moving average of the loads that the upstreams of each service reported. */
+	readonly #meanLoads = new Map<string, number>();
 	#choiceCount = 0;
 
 	constructor(membership: Membership, dataCentre: string, clock: Clock, random: Random) {
@@ -104,12 +120,12 @@
 		const ready = this.#membership.listReady(service);
 		const candidates = this.#listCandidates(ready, attemptedIds).filter(member => !this.#isFull(member, route));
 		const preferred = prefer === 'any' ? candidates : candidates.filter(member => member.dataCentre === (prefer === 'local' ? this.#dataCentre : prefer));
-		const preferredMember = this.#chooseOfTwo(preferred);
+		const preferredMember = this.#chooseOfSample(preferred);
 		if (preferredMember && (preferred.length === candidates.length || this.#estimateLoad(preferredMember) < spilloverLoad)) {
 			return preferredMember;
 		}
 
-		const anyMember = this.#chooseOfTwo(candidates);
+		const anyMember = this.#chooseOfSample(candidates);
 		if (preferredMember === undefined || anyMember === undefined) {
 			return anyMember ?? preferredMember;
 		}
@@ -161,8 +177,10 @@
 		const state = this.#getState(member);
 		state.inFlight = Math.max(0, state.inFlight - 1);
 		if (reportedLoad !== undefined && Number.isFinite(reportedLoad)) {
-			state.reportedLoad = reportedLoad;
+			state.reportedLoad = Math.min(maxReportedLoad, reportedLoad);
 			state.reportedAt = this.#clock.now();
+			const meanLoad = this.#meanLoads.get(member.service) ?? state.reportedLoad;
+			this.#meanLoads.set(member.service, meanLoad + ((state.reportedLoad - meanLoad) * meanLoadWeight));
 		}
 
 		if (!isFailure) {
@@ -202,15 +220,30 @@
 		return ejectedCount > Math.ceil(ready.length * maxEjectedShare) ? unattempted : candidates;
 	}
 
-	#chooseOfTwo(members: readonly Member[]): Member | undefined {
-		if (members.length < 2) {
+	#chooseOfSample(members: readonly Member[]): Member | undefined {
+		if (members.length < minSampleSize) {
 			return members[0];
 		}
 
-		const first = chooseInteger(this.#random, members.length);
-		const second = (first + 1 + chooseInteger(this.#random, members.length - 1)) % members.length;
-		const [left, right] = [members[first]!, members[second]!];
-		return this.#computeWeightedLoad(left) <= this.#computeWeightedLoad(right) ? left : right;
+		const count = Math.max(minSampleSize, Math.min(maxSampleSize, Math.floor(members.length * maxSampleShare)));
+
+		// Steps of at most this length visit no member twice.
+		const maxStep = Math.floor(members.length / count);
+		let index = chooseInteger(this.#random, members.length);
+		let best: Member | undefined;
+		let bestLoad = Number.POSITIVE_INFINITY;
+		for (let sample = 0; sample < count; sample++) {
+			const member = members[index]!;
+			const load = this.#computeWeightedLoad(member);
+			if (load < bestLoad) {
+				best = member;
+				bestLoad = load;
+			}
+
+			index = (index + 1 + chooseInteger(this.#random, maxStep)) % members.length;
+		}
+
+		return best;
 	}
 
 	/** Computes the load that candidates are compared by: the slow start makes that of a new upstream higher. */
@@ -221,12 +254,14 @@
 
 	/**
 	 * Estimates the load in calls per slot: the higher of the reported load, which
-	 * decays with its age, and the load from this node alone with one more call.
+	 * approaches the mean of its service with its age, and the load from this node
+	 * alone with one more call.
 	 */
 	#estimateLoad(member: Member): number {
 		const state = this.#getState(member);
 		const age = this.#clock.now() - state.reportedAt;
-		const reportedLoad = state.reportedLoad * (0.5 ** (age / loadHalfLifeMs));
+		const meanLoad = this.#meanLoads.get(member.service) ?? 0;
+		const reportedLoad = meanLoad + ((state.reportedLoad - meanLoad) * (0.5 ** (age / loadHalfLifeMs)));
 		const localLoad = (state.inFlight + 1) / Math.max(1, member.slots);
 		return Math.max(localLoad, reportedLoad);
 	}
@@ -237,7 +272,7 @@
 			state = {
 				inFlight: 0,
 				reportedLoad: 0,
-				reportedAt: 0,
+				reportedAt: Number.NEGATIVE_INFINITY,
 				consecutiveFailures: 0,
 				ejections: 0,
 				ejectedUntil: 0,
@@ -250,6 +285,7 @@
 			state.incarnation = member.incarnation;
 			state.ejectedUntil = 0;
 			state.consecutiveFailures = 0;
+			state.reportedAt = Number.NEGATIVE_INFINITY;
 			state.readySince = this.#clock.now();
 		}
 
--- a/packages/callers/src/test/target-chooser_test.ts
+++ b/packages/callers/src/test/target-chooser_test.ts
@@ -59,6 +59,67 @@
 			return new TargetChooser(membership, 'a', clock, new SeededRandom(1));
 		}
 
+		function recordLoad(chooser: TargetChooser, member: Member, load: number): void {
+			chooser.recordStart(member);
+			chooser.recordEnd(member, false, load);
+		}
+
+		it('does not take one whose reported load is some seconds old for an idle one', async t => {
+			const clock = new FakeClock();
+			const members = [buildMember('old', 'a'), buildMember('recent', 'a')] as const;
+			const chooser = createLocalChooser(clock, members);
+			chooser.choose('s', route, new Set());
+			await clock.advance(10_000);
+			recordLoad(chooser, members[0], 1.2);
+			await clock.advance(6000);
+			recordLoad(chooser, members[1], 1);
+			t.is(chooser.choose('s', route, new Set())?.id, 'recent');
+		});
+
+		it('compares four of eight, so that the more loaded half gets few calls', async t => {
+			const clock = new FakeClock();
+			const members = Array.from({length: 8}, (_, index) => buildMember(`m${index}`, 'a'));
+			const chooser = createLocalChooser(clock, members);
+			chooser.choose('s', route, new Set());
+			await clock.advance(10_000);
+			for (const [index, member] of members.entries()) {
+				recordLoad(chooser, member, 0.2 + (index / 10));
+			}
+
+			const choices = Array.from({length: 400}, () => chooser.choose('s', route, new Set())!.id);
+			const loaded = choices.filter(id => Number(id.slice(1)) >= 4).length;
+			t.true(loaded < 400 * 0.1, `${loaded} of 400`);
+		});
+
+		it('never compares one with itself, and chooses each of many equal ones', t => {
+			const members = Array.from({length: 25}, (_, index) => buildMember(`m${index}`, 'a'));
+			const chooser = createLocalChooser(new FakeClock(), members);
+			const counts = new Map<string, number>();
+			for (let choice = 0; choice < 5000; choice++) {
+				const {id} = chooser.choose('s', route, new Set())!;
+				counts.set(id, (counts.get(id) ?? 0) + 1);
+			}
+
+			t.is(counts.size, members.length);
+			t.true([...counts.values()].every(count => count > 120 && count < 280), [...counts.values()].join(' '));
+		});
+
+		it('chooses one again soon after its sidecar was closed', async t => {
+			const clock = new FakeClock();
+			const members = [buildMember('closed', 'a'), buildMember('busy', 'a')] as const;
+			const chooser = createLocalChooser(clock, members);
+			chooser.choose('s', route, new Set());
+			await clock.advance(10_000);
+			recordLoad(chooser, members[0], 1000);
+			for (let second = 0; second < 12; second++) {
+				recordLoad(chooser, members[1], 2);
+				await clock.advance(1000);
+			}
+
+			recordLoad(chooser, members[1], 3);
+			t.is(chooser.choose('s', route, new Set())?.id, 'closed');
+		});
+
 		it('keeps the ejection of one that never reported a load', async t => {
 			const clock = new FakeClock();
 			const members = [buildMember('unreachable', 'a'), buildMember('other', 'a'), buildMember('third', 'a')] as const;
