--- a/packages/bench/src/soak-plan.ts
+++ b/packages/bench/src/soak-plan.ts
@@ -62,7 +62,7 @@
 const plannedShare = 0.7;
 
 /** Plans the events of a soak, in the order of their times. */
-export function planSoak({seed, duration, vmCount, hasFaults}: SoakPlanOptions): SoakEvent[] {
+export function buildSoakPlan({seed, duration, vmCount, hasFaults}: SoakPlanOptions): SoakEvent[] {
 	const random = new SeededRandom(seed);
 	for (let index = 0; index < skippedValues; index++) {
 		random.next();
@@ -79,7 +79,7 @@
 
 		const isFault = hasFaults && faults.length > 0 && random.next() > plannedShare;
 		const kind = chooseOne<SoakEventKind>(random, isFault ? faults : plannedKinds);
-		events.push(...planEpisode(random, kind, at, vmCount).filter(event => event.at <= duration - quietEndMs));
+		events.push(...buildEpisode(random, kind, at, vmCount).filter(event => event.at <= duration - quietEndMs));
 	}
 }
 
@@ -94,7 +94,7 @@
 }
 
 /** Plans one event, or a series of restarts in the order of the VMs, in which the same VM may come twice. */
-function planEpisode(random: Random, kind: SoakEventKind, at: number, vmCount: number): SoakEvent[] {
+function buildEpisode(random: Random, kind: SoakEventKind, at: number, vmCount: number): SoakEvent[] {
 	const first = chooseInteger(random, vmCount);
 	const count = kind === 'restart' ? 1 + chooseInteger(random, Math.max(1, Math.floor(vmCount / 2))) : 1;
 	const events: SoakEvent[] = [];
--- a/packages/bench/src/test/soak-ledger_test.ts
+++ b/packages/bench/src/test/soak-ledger_test.ts
@@ -1,6 +1,6 @@
 import {describe, it} from '@ebonylead/stand-ins/describe.js';
 import {SoakLedger} from '../soak-ledger.js';
-import {isPlanned, planSoak} from '../soak-plan.js';
+import {isPlanned, buildSoakPlan} from '../soak-plan.js';
 
 type Fixture = {readonly ledger: SoakLedger; readonly send: (id: string, isIdempotent?: boolean) => void; readonly advance: (duration: number) => void};
 
@@ -123,13 +123,13 @@
 		const options = {
 			seed: 7, duration: 60_000, vmCount: 6, hasFaults: true,
 		};
-		t.deepEqual(planSoak(options), planSoak(options));
-		t.notDeepEqual(planSoak(options), planSoak({...options, seed: 8}));
-		t.true(planSoak(options).every(event => event.at <= 51_000 && event.vm < 6));
+		t.deepEqual(buildSoakPlan(options), buildSoakPlan(options));
+		t.notDeepEqual(buildSoakPlan(options), buildSoakPlan({...options, seed: 8}));
+		t.true(buildSoakPlan(options).every(event => event.at <= 51_000 && event.vm < 6));
 	});
 
 	it('without faults has planned work alone', t => {
-		const plan = planSoak({
+		const plan = buildSoakPlan({
 			seed: 7, duration: 60_000, vmCount: 6, hasFaults: false,
 		});
 		t.true(plan.length > 0);
--- a/packages/node/src/test/mesh-node-stop_test.ts
+++ b/packages/node/src/test/mesh-node-stop_test.ts
@@ -17,7 +17,7 @@
 const lastPhaseMs = 3050;
 
 /** Longer than the rest of the stop takes. */
-const holdUpMs = 500;
+const pauseMs = 500;
 
 const ruleSource: RuleSource = {
 	isUnavailable: false,
@@ -35,7 +35,7 @@
 	return port;
 }
 
-function holdUp(duration: number): void {
+function pause(duration: number): void {
 	const end = performance.now() + duration;
 	while (performance.now() < end) {
 		// Takes the processor from all else in this process.
@@ -70,7 +70,7 @@
 		// After an immediate callback, the event loop runs timers before it reads from sockets.
 		setImmediate(() => {
 			socket.write('GET /x HTTP/1.1\r\nhost: a\r\n\r\n');
-			holdUp(holdUpMs);
+			pause(pauseMs);
 		});
 		await Promise.all([stopped, closed]);
 		t.regex(text, /^HTTP\/1\.1 503/v);
