--- a/packages/callers/src/mesh-pools.ts
+++ b/packages/callers/src/mesh-pools.ts
@@ -2,8 +2,8 @@
 import {type Clock} from '@ebonylead/base/base.js';
 import {Pool} from 'undici';
 
-/** Maximum number of connections to one sidecar. */
-const maxConnections = 130;
+/** Default of the maximum number of connections to one sidecar. */
+const defaultMaxConnections = 130;
 
 /** Connect timeout in milliseconds; nodes are a few milliseconds apart, and a call that gets no connection is retried on another node. */
 const connectTimeoutMs = 300;
@@ -25,11 +25,13 @@
 /** Creates pools on demand, and closes those that are idle or whose connections are unresponsive. */
 export class MeshPools {
 	readonly #clock: Clock;
+	readonly #maxConnections: number;
 	readonly #entries = new Map<string, PoolEntry>();
 	readonly #sweepTimer: NodeJS.Timeout;
 
-	constructor(clock: Clock) {
+	constructor(clock: Clock, maxConnections = defaultMaxConnections) {
 		this.#clock = clock;
+		this.#maxConnections = maxConnections;
 		this.#sweepTimer = setInterval(() => {
 			this.#closeIdle();
 		}, sweepIntervalMs);
@@ -50,7 +52,7 @@
 		}
 
 		const pool = new Pool(origin, {
-			connections: maxConnections,
+			connections: this.#maxConnections,
 			pipelining: 1,
 			keepAliveTimeout: keepAliveTimeoutMs,
 			keepAliveMaxTimeout: keepAliveTimeoutMs,
