--- a/scripts/lean/undici.js
+++ b/scripts/lean/undici.js
@@ -6,4 +6,5 @@
 Object.assign(Dispatcher.prototype, api);
 
 export {default as Agent} from '../../node_modules/undici/lib/dispatcher/agent.js';
+export {default as Client} from '../../node_modules/undici/lib/dispatcher/client.js';
 export {default as Pool} from '../../node_modules/undici/lib/dispatcher/pool.js';
