--- a/packages/stand-ins/src/event-clock.ts
+++ b/packages/stand-ins/src/event-clock.ts
@@ -23,10 +23,20 @@
 		return Math.floor(this.#now);
 	}
 
-	async sleep(duration: number): Promise<void> {
+	async sleep(duration: number, signal?: AbortSignal): Promise<void> {
+		if (signal?.aborted) {
+			return;
+		}
+
 		await new Promise<void>(resolve => {
+			const wake = () => {
+				signal?.removeEventListener('abort', wake);
+				resolve();
+			};
+
+			signal?.addEventListener('abort', wake);
 			this.#order++;
-			this.#push({wakeAt: this.#now + Math.max(0, duration), order: this.#order, wake: resolve});
+			this.#push({wakeAt: this.#now + Math.max(0, duration), order: this.#order, wake});
 		});
 	}
 
