--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -18,6 +18,7 @@
 import {MemberState, UpstreamState, type Member} from '@ebonylead/peers/generated/peers.js';
 import {Membership} from '@ebonylead/peers/membership.js';
 import {ActiveVersion} from '@ebonylead/rules/active-version.js';
+import {type RouteTable} from '@ebonylead/rules/route-table.js';
 import {type AcceptedRules, type RuleSource} from '@ebonylead/rules/rule-source.js';
 import {type RowStore} from '@ebonylead/store/row-store.js';
 import {CrashDetector} from '@ebonylead/upstreams/crash-detector.js';
@@ -100,6 +101,9 @@
 /** Tells followers to choose another node, as this one does not get the members. */
 const staleWord: Freshness = {until: Number.NEGATIVE_INFINITY, reader: ''};
 
+/** Turns of the event loop before the connections are closed: one to accept connections, one to read their requests, and one to refuse these. */
+const finalReadTurns = 3;
+
 /** Exclusive upper bound of the random `instance` of a member: an unsigned 32-bit number, as in the messages between peers. */
 const instanceLimit = 0x1_00_00_00_00;
 
@@ -261,6 +265,7 @@
 		const cut = this.#inFlightCount;
 		this.#callerListener.cancelCalls('this node stops');
 		await this.#clock.sleep(responseFlushMs);
+		await this.#readArrivedRequests();
 		this.#log.info({cut, duration: Math.round(this.#clock.now() - startedAt)}, 'Stopped');
 		await this.close();
 		return cut;
@@ -298,8 +303,8 @@
 			clock,
 			random,
 			log: this.#createLog('rules'),
-			onRules: rules => {
-				this.#applyRules(rules);
+			onRules: (rules, routeTable) => {
+				this.#applyRules(rules, routeTable);
 			},
 		});
 	}
@@ -313,6 +318,15 @@
 		return this.#ranking.isReader ? readerIntervalMs : undefined;
 	}
 
+	/** Reads what has arrived while this process got no processor time, so that it is refused and not cut. */
+	async #readArrivedRequests(): Promise<void> {
+		for (let turn = 0; turn < finalReadTurns; turn++) {
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		}
+	}
+
 	#getState({versions, includeMembers}: StateQuery): string {
 		const members = includeMembers ? this.#membership.listAll().filter(member => member.state === MemberState.ALIVE) : [];
 		return encodeState(this.#history.encodeUpdate(versions), members);
@@ -326,10 +340,10 @@
 		}
 	}
 
-	#applyRules(rules: AcceptedRules): void {
+	#applyRules(rules: AcceptedRules, routeTable?: RouteTable): void {
 		const {snapshot, limits} = rules;
 		const before = this.#activeVersion.version;
-		if (!this.#activeVersion.applySnapshot(snapshot)) {
+		if (!this.#activeVersion.applySnapshot(snapshot, routeTable)) {
 			return;
 		}
 
