Keep following while a node tries a dead reader again

The row of a dead node stays, so that it is tried again each 8 to 16 s. For these 300 ms a follower did not count as following, and its next request for members went to the store. It follows as long as the word of the last reader is fresh.

npx ava packages/node/src/test/rules-fleet_test.ts -m '*dead node*': in 40 s only one node of each data centre reads the store.

--- a/packages/node/src/rules-sync.ts
+++ b/packages/node/src/rules-sync.ts
@@ -91,9 +91,9 @@
 		});
 	}
 
-	/** Whether this node gets all from another node that has a fresh word from the store. */
+	/** Whether this node gets all from other nodes; also while it changes from one to the next, as long as the word of the last one is fresh. */
 	get isFollowing(): boolean {
-		return this.#follower.hasLine && this.#follower.origin !== undefined && this.#isReaderFresh && !this.#reading.isActive;
+		return this.#isReaderFresh && !this.#reading.isActive;
 	}
 
 	/** Whether this node reads the store, and the last read failed. */
--- a/packages/node/src/test/rules-fleet_test.ts
+++ b/packages/node/src/test/rules-fleet_test.ts
@@ -191,3 +191,22 @@
 		await fleet.stop();
 	});
 });
+
+describe('a dead node that stays in the list of members', () => {
+	it('costs its followers no reading of the store when they try it again', async t => {
+		await withFleet(fleets[0]!, async fleet => {
+			const reader = fleet.listReaders('dc0').find(node => node.ranking.isReader)!;
+			reader.isCut = true;
+			await fleet.advance(5 * maxDelayMs);
+			const reading = new Set<string>();
+			for (let time = 0; time < 40_000; time += 100) {
+				await fleet.advance(100);
+				for (const node of fleet.nodes.filter(found => found !== reader && !found.sync.isFollowing)) {
+					reading.add(node.id);
+				}
+			}
+
+			t.is(reading.size, fleets[0]!.dataCentreCount);
+		});
+	});
+});
