Count the time of suspects in the waits of the calls behind them

Calls behind a suspect were held to their deadline: it waits until all running calls have ended, and holds up every other call meanwhile, but the estimate of the wait saw free slots. A suspect that could not start before its deadline held them up as well.

The forecast of the slots knows exclusive calls now, so that a suspect without a chance is refused at once, and so are calls that can not end in time behind one.

--- a/packages/upstreams/src/admission-queue.ts
+++ b/packages/upstreams/src/admission-queue.ts
@@ -14,7 +14,7 @@
 };
 
 /**
- * Orders queued calls: the highest priority first, then calls that can still
+ * Orders queued calls: exclusive ones first, then the highest priority, then calls that can still
  * meet their objective, then callers in round robin, then the earliest objective.
  */
 export class AdmissionQueue {
@@ -81,7 +81,8 @@
 	listInOrder(isLate: (queued: QueuedCall) => boolean): QueuedCall[] {
 		const keyed = this.listAll().map(queued => ({queued, late: Number(isLate(queued)), turn: this.#lastTurns.get(queued.request.caller) ?? 0}));
 		return keyed.toSorted((left, right) =>
-			left.queued.priority - right.queued.priority
+			Number(right.queued.request.isExclusive ?? false) - Number(left.queued.request.isExclusive ?? false)
+			|| left.queued.priority - right.queued.priority
 			|| left.late - right.late
 			|| left.turn - right.turn
 			|| left.queued.request.objective - right.queued.request.objective).map(({queued}) => queued);
@@ -90,7 +91,7 @@
 	/** Lists the calls that get a slot before a new one. */
 	listBefore(other: AdmissionRequest, otherPriority: number): QueuedCall[] {
 		return this.listAll().filter(({request, priority, isBestEffort}) =>
-			priority < otherPriority || (priority === otherPriority && !isBestEffort && request.objective <= other.objective));
+			Boolean(request.isExclusive) || priority < otherPriority || (priority === otherPriority && !isBestEffort && request.objective <= other.objective));
 	}
 
 	/** Finds the oldest call of the caller that has the most queued calls of the lowest priority. */
--- a/packages/upstreams/src/admission.ts
+++ b/packages/upstreams/src/admission.ts
@@ -264,11 +264,12 @@
 		const schedule = this.#buildSchedule();
 		const hopeless: QueuedCall[] = [];
 		for (const queued of this.#queue.listInOrder(call => this.#isExpectedLate(call))) {
-			const duration = this.#serviceTimes.estimate(queued.request.route);
-			if (now + schedule.nextFreeTime + duration > queued.request.deadline) {
+			const {deadline, isExclusive, route} = queued.request;
+			const duration = this.#serviceTimes.estimate(route);
+			if (now + schedule.computeStart(isExclusive) + duration > deadline) {
 				hopeless.push(queued);
 			} else {
-				schedule.add(duration);
+				schedule.add(duration, isExclusive);
 			}
 		}
 
@@ -364,16 +365,21 @@
 		for (const queued of this.#queue.listBefore(request, priority)) {
 			const duration = this.#serviceTimes.estimate(queued.request.route);
 			queuedMs += duration;
-			schedule.add(duration);
+			schedule.add(duration, queued.request.isExclusive);
 		}
 
 		const freeShare = 1 - (this.#priorityUsage.computeHigherPriorityUsage(priority, this.#clock.now()) / slots);
-		return Math.max(schedule.nextFreeTime, queuedMs / slots) / Math.max(minFreeShare, freeShare);
+		return Math.max(schedule.computeStart(request.isExclusive), queuedMs / slots) / Math.max(minFreeShare, freeShare);
 	}
 
 	#buildSchedule(): SlotSchedule {
 		const remainingTimes = this.#running.estimateRemainingTimes(this.#clock.now(), route => this.#serviceTimes.estimate(route));
-		return new SlotSchedule(Math.max(1, this.#slots), remainingTimes);
+		const schedule = new SlotSchedule(Math.max(1, this.#slots), remainingTimes);
+		if (this.#running.hasExclusive) {
+			schedule.add(0, true);
+		}
+
+		return schedule;
 	}
 
 	#buildRefusal(request: AdmissionRequest, cause: AdmissionRefusalCause): Admission {
--- a/packages/upstreams/src/slot-schedule.ts
+++ b/packages/upstreams/src/slot-schedule.ts
@@ -15,14 +15,18 @@
 		this.#freeTimes = [...idleSlots, ...remainingTimes.toSorted((left, right) => left - right).slice(-slots)];
 	}
 
-	/** Milliseconds from now until the next slot is free. */
-	get nextFreeTime(): number {
-		return Math.min(...this.#freeTimes);
+	/** Returns the milliseconds from now until a call can start: when a slot is free, or all of them for an exclusive call. */
+	computeStart(isExclusive = false): number {
+		return isExclusive ? Math.max(...this.#freeTimes) : Math.min(...this.#freeTimes);
 	}
 
-	/** Assigns a call with an expected duration in milliseconds to the slot that becomes free first. */
-	add(duration: number): void {
-		const first = this.#freeTimes.indexOf(this.nextFreeTime);
-		this.#freeTimes[first]! += duration;
+	/** Adds a call with an expected duration in milliseconds, which starts as soon as it can; nothing else runs beside an exclusive one. */
+	add(duration: number, isExclusive = false): void {
+		const start = this.computeStart(isExclusive);
+		if (isExclusive) {
+			this.#freeTimes.fill(start + duration);
+		} else {
+			this.#freeTimes[this.#freeTimes.indexOf(start)] = start + duration;
+		}
 	}
 }
--- a/packages/upstreams/src/test/admission_test.ts
+++ b/packages/upstreams/src/test/admission_test.ts
@@ -172,6 +172,39 @@
 		t.deepEqual(queued.map(({result}) => result?.kind), ['refused', 'refused', 'refused', 'refused']);
 	});
 
+	describe('with a suspect in the queue', () => {
+		const longMs = 2000;
+
+		/** Lets one long call run, which a queued suspect waits for. */
+		async function createWithSuspect(clock: FakeClock, suspectDeadline: number): Promise<{control: AdmissionControl; suspect: {result: Admission | undefined}}> {
+			const control = new AdmissionControl(clock, 4);
+			const sample = await control.admit(buildRequest({route: 'long'}));
+			await clock.advance(longMs);
+			release(sample);
+			const shortSample = await control.admit(buildRequest());
+			await clock.advance(100);
+			release(shortSample);
+			await control.admit(buildRequest({route: 'long'}));
+			return {control, suspect: submit(control, buildRequest({isExclusive: true, deadline: clock.now() + suspectDeadline}))};
+		}
+
+		it('refuses at once a call that can not end in time behind it', async t => {
+			const clock = new FakeClock();
+			const {control} = await createWithSuspect(clock, 4000);
+			const behind = submit(control, buildRequest({deadline: clock.now() + 1000}));
+			await waitForImmediate();
+			t.is(behind.result?.kind, 'refused');
+		});
+
+		it('refuses the suspect at once if the running calls leave it too little time, and holds up no other call', async t => {
+			const clock = new FakeClock();
+			const {control, suspect} = await createWithSuspect(clock, 1500);
+			await waitForImmediate();
+			t.is(suspect.result?.kind, 'refused');
+			t.like(await control.admit(buildRequest({deadline: clock.now() + 1000})), {kind: 'admitted'});
+		});
+	});
+
 	describe('whose upstream has stopped responding', () => {
 		const meanMs = 100;
 
