--- a/packages/node/src/test/rules-feed_test.ts
+++ b/packages/node/src/test/rules-feed_test.ts
@@ -166,6 +166,23 @@
 		});
 	});
 
+	it('goes on where the receiver has skipped an update, as it had a later version from another node', async t => {
+		await withFeed(async ({serverHistory, feed, history, follower, origin, ends}) => {
+			serverHistory.add(buildRules(1));
+			follower.start(origin);
+			await waitUntil(() => history.version === 1, 'the first version');
+			history.add(buildRules(3));
+			for (const version of [2, 4]) {
+				serverHistory.add(buildRules(version));
+				feed.sendToAll();
+			}
+
+			await waitUntil(() => history.version === 4 || ends.length > 0, 'the last version');
+			t.deepEqual(ends, []);
+			t.is(history.version, 4);
+		});
+	});
+
 	it('ends where an update does not fit, and then sends all rules', async t => {
 		await withFeed(async ({serverHistory, history, follower, origin, ends}) => {
 			const wrong = buildRules(1);
--- a/packages/node/src/test/rules-fleet_test.ts
+++ b/packages/node/src/test/rules-fleet_test.ts
@@ -120,6 +120,28 @@
 	}
 });
 
+describe('spreading of a version that is written just after a read', () => {
+	/** While the reader rests after that read, and after it has heard the store once more. */
+	const cutAfterMs = 1000;
+
+	it('is in time on every node if the reader loses the store before its next read', async t => {
+		await withFleet({nodeCount: 6, dataCentreCount: 1, readerCount: 2}, async fleet => {
+			fleet.writeVersion();
+			await fleet.clock.advance(10);
+			fleet.writeVersion();
+			await fleet.clock.advance(cutAfterMs);
+			for (const node of fleet.listReaders().filter(({ranking}) => ranking.isReader)) {
+				node.isStoreCut = true;
+			}
+
+			await fleet.clock.advance(2 * maxDelayMs);
+			t.deepEqual(fleet.listBehind(), []);
+			const delay = Math.max(...fleet.delays.filter(({version}) => version === fleet.version).map(found => found.delay));
+			t.true(delay <= maxDelayMs, String(delay));
+		});
+	});
+});
+
 describe('spreading of versions while the store does not answer', () => {
 	it('to one node, that node gets versions from its reader', async t => {
 		await withFleet(fleets[0]!, async fleet => {
--- a/packages/upstreams/src/test/attempt-registry_test.ts
+++ b/packages/upstreams/src/test/attempt-registry_test.ts
@@ -16,6 +16,14 @@
 		t.is(registry.probe('a'), attemptStates.ended);
 	});
 
+	it('does not report an attempt as running that ended before its upstream would have got it', t => {
+		const registry = new AttemptRegistry(new FakeClock());
+		const attempt = registry.register('a', 1000)!;
+		attempt.setEnded();
+		attempt.setRunning();
+		t.is(registry.probe('a'), attemptStates.ended);
+	});
+
 	it('refuses an attempt that arrives after it was reported as not received', async t => {
 		const clock = new FakeClock();
 		const registry = new AttemptRegistry(clock);
