Test fetching from another peer than one that lacks the reported version

A node that asks a peer which responds without an update, as it was restarted or is behind itself, asks the same one again until it has the version: only a failed request chooses another peer. The node keeps its old version meanwhile, unless its reader or the store delivers the new one.

npx ava packages/node/src/test/peer-state_test.ts: this test failed after 5 s of waiting, the other six passed.

--- a/packages/node/src/test/peer-state_test.ts
+++ b/packages/node/src/test/peer-state_test.ts
@@ -112,6 +112,25 @@
 		});
 	});
 
+	it('fetches from another peer where that node no longer has the version, as it was restarted', async t => {
+		const restarted = createServer((_request, response) => {
+			response.end(encodeState(undefined, []));
+		});
+		await new Promise<void>(resolve => {
+			restarted.listen(0, host, resolve);
+		});
+		try {
+			await withFetcher({}, async ({fetcher, getVersion}) => {
+				fetcher.recordVersion(peerVersion, `http://${host}:${(restarted.address() as AddressInfo).port}`);
+				await waitUntil(() => getVersion() === peerVersion, 'the fetcher', waitTimeoutMs);
+				t.pass();
+			});
+		} finally {
+			restarted.closeAllConnections();
+			restarted.close();
+		}
+	});
+
 	it('fetches from a seed where it knows no member and the store is unavailable', async t => {
 		await withFetcher({isStoreUnavailable: () => true, membership: new Membership(), seedHosts: [host]}, async ({getVersion}) => {
 			await waitUntil(() => getVersion() === peerVersion, 'the fetcher', waitTimeoutMs);
