--- a/packages/upstreams/src/mesh-listener.ts
+++ b/packages/upstreams/src/mesh-listener.ts
@@ -120,11 +120,13 @@
 	}
 
 	async #handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		if (this.#serveState(request, response)) {
+		const service = readHeader(request, meshHeaders.service);
+		// A call has a service, also one whose path is the same.
+		if (service === undefined && this.#serveState(request, response)) {
 			return;
 		}
 
-		if (request.url?.startsWith(attemptProbePath) && readHeader(request, meshHeaders.service) === attemptProbeService) {
+		if (service === attemptProbeService && request.url?.startsWith(attemptProbePath)) {
 			this.#handleAttemptProbe(request.url, response);
 			return;
 		}
