Choose the only upstream of a service although it was ejected

Callers got 503 for 1 to 60 s from an entry node that had ejected the only upstream of a service: more than a third of the upstreams rounded up is one, and one is not more than that. An ejection also outlived a later record of the upstream, as the exclusion was read before the state was reset. npx ava packages/callers/src/test/target-chooser_test.ts: both new tests failed before, all pass now.

--- a/packages/callers/src/target-chooser.ts
+++ b/packages/callers/src/target-chooser.ts
@@ -164,7 +164,9 @@
 			return 'tried';
 		}
 
-		return (this.#states.get(member.id)?.ejectedUntil ?? 0) > this.#clock.now() ? 'ejected' : undefined;
+		const state = this.#states.get(member.id);
+		const ejectedUntil = state?.incarnation === member.incarnation ? state.ejectedUntil : 0;
+		return ejectedUntil > this.#clock.now() ? 'ejected' : undefined;
 	}
 
 	/** Records the start of an attempt. */
@@ -212,12 +214,13 @@
 		state.ejectedUntil = this.#clock.now() + duration;
 	}
 
-	/** Lists the upstreams that were neither attempted nor ejected; ejected ones too if their share exceeds `maxEjectedShare`. */
+	/** Lists the upstreams that were neither attempted nor ejected; ejected ones too if their share exceeds `maxEjectedShare`, or if a call would find none before its first attempt. */
 	#listCandidates(ready: readonly Member[], attemptedIds: ReadonlySet<string>): readonly Member[] {
 		const unattempted = attemptedIds.size === 0 ? ready : ready.filter(member => !attemptedIds.has(member.id));
 		const candidates = unattempted.filter(member => this.findExclusion(member) === undefined);
 		const ejectedCount = unattempted.length - candidates.length;
-		return ejectedCount > Math.ceil(ready.length * maxEjectedShare) ? unattempted : candidates;
+		const isFirstWithoutCandidates = candidates.length === 0 && attemptedIds.size === 0;
+		return isFirstWithoutCandidates || ejectedCount > Math.ceil(ready.length * maxEjectedShare) ? unattempted : candidates;
 	}
 
 	#chooseOfSample(members: readonly Member[]): Member | undefined {
--- a/packages/callers/src/test/target-chooser_test.ts
+++ b/packages/callers/src/test/target-chooser_test.ts
@@ -120,6 +120,22 @@
 			t.is(chooser.choose('s', route, new Set())?.id, 'closed');
 		});
 
+		it('still chooses the only one of a service after it was ejected, as no other can serve', t => {
+			const members = [buildMember('only', 'a')] as const;
+			const chooser = createLocalChooser(new FakeClock(), members);
+			chooser.recordUnreachable(members[0]);
+			t.is(chooser.choose('s', route, new Set())?.id, 'only');
+			t.is(chooser.choose('s', route, new Set(['only'])), undefined);
+		});
+
+		it('does not leave out one that has changed its record since it was ejected', t => {
+			const members = [buildMember('back', 'a'), buildMember('other', 'a'), buildMember('third', 'a')] as const;
+			const chooser = createLocalChooser(new FakeClock(), members);
+			chooser.recordUnreachable(members[0]);
+			t.is(chooser.findExclusion(members[0]), 'ejected');
+			t.is(chooser.findExclusion({...members[0], incarnation: 2}), undefined);
+		});
+
 		it('keeps the ejection of one that never reported a load', async t => {
 			const clock = new FakeClock();
 			const members = [buildMember('unreachable', 'a'), buildMember('other', 'a'), buildMember('third', 'a')] as const;
