Leave the end of an attempt that may have run to its own connection

Callers got 502 although the response was on its way: a refused probe ended the attempt at once, and a report of "ended" did so when it came again 500 ms later, both over a link that delivers the small probe before the response.

Cause: a probe on another connection tells nothing of what is still under way on the attempt's own one. That a process has stopped or sent the response, or that a later process listens, is no evidence that the response is lost.

Such an attempt is a suspect now: an idempotent call may be sent to a second node and the first response wins; one that is not waits. A reset or an end of its own connection, which forward.ts reports, ends it at once as before, else its deadline.

--- a/packages/callers/src/attempt-verdict.ts
+++ b/packages/callers/src/attempt-verdict.ts
@@ -17,20 +17,17 @@
 	/** Its response may still come. */
 	wait: 'wait',
 
-	/** The sidecar is out of reach at present; the response may still come. */
+	/** Its response may be lost, but may still come: only the attempt's own connection shows that it can't. */
 	suspect: 'suspect',
 
 	/** It did not run and never will. */
 	notReceived: 'not-received',
-
-	/** It may have run, and its response can't come any more. */
-	lost: 'lost',
 } as const;
 
 /** One of `attemptVerdicts`. */
 export type AttemptVerdict = typeof attemptVerdicts[keyof typeof attemptVerdicts];
 
-/** Time in milliseconds in which the response of an ended attempt may still be on its way: the network may deliver the response to a later probe first. */
+/** Time in milliseconds without a byte of the response of an ended attempt after which it is suspect: the network may deliver the response to a later probe first. */
 const responseDeliveryMs = 500;
 
 /** Times of an attempt in milliseconds. */
@@ -45,13 +42,10 @@
 	readonly endedFor: number | undefined;
 };
 
-/** Chooses what follows from a probe. Only evidence ends an attempt that may have run; a sidecar that does not respond gives none. */
+/** Chooses what follows from a probe. None ends an attempt that may have run, because the response of a process that has stopped may be on its way too. */
 export function chooseVerdict(outcome: ProbeOutcome, {age, timeLeft, endedFor}: AttemptTimes): AttemptVerdict {
 	switch (outcome.kind) {
-		case 'refused': {
-			return attemptVerdicts.lost;
-		}
-
+		case 'refused':
 		case 'unreachable':
 		case 'unanswered': {
 			return attemptVerdicts.suspect;
@@ -59,7 +53,7 @@
 
 		case 'reported': {
 			if (outcome.state === attemptStates.ended) {
-				return (endedFor ?? 0) >= responseDeliveryMs ? attemptVerdicts.lost : attemptVerdicts.wait;
+				return (endedFor ?? 0) >= responseDeliveryMs ? attemptVerdicts.suspect : attemptVerdicts.wait;
 			}
 
 			if (outcome.state !== attemptStates.notReceived) {
@@ -67,7 +61,7 @@
 			}
 
 			// An earlier process may have received an attempt that is older than this one's knowledge; ended attempts are forgotten after their deadline.
-			return outcome.knownFor >= age && timeLeft > 0 ? attemptVerdicts.notReceived : attemptVerdicts.lost;
+			return outcome.knownFor >= age && timeLeft > 0 ? attemptVerdicts.notReceived : attemptVerdicts.suspect;
 		}
 	}
 }
--- a/packages/callers/src/attempt.ts
+++ b/packages/callers/src/attempt.ts
@@ -9,9 +9,7 @@
 import {meshHeaders} from '@ebonylead/upstreams/upstreams.js';
 import {type Dispatcher} from 'undici';
 import {type SilentAttempt} from './attempt-prober.js';
-import {
-	attemptVerdicts, chooseVerdict, type AttemptVerdict, type ProbeOutcome,
-} from './attempt-verdict.js';
+import {attemptVerdicts, chooseVerdict, type ProbeOutcome} from './attempt-verdict.js';
 import {type CallerListenerDependencies} from './callers.js';
 
 /** Bounds in milliseconds of the time without a byte from the sidecar after which it is probed. */
@@ -56,12 +54,12 @@
 	readonly onForward: () => void;
 };
 
-/** Sends a call to a sidecar. While the sidecar is silent, the attempt is probed; only evidence that no response can come ends it before the deadline. */
+/** Sends a call to a sidecar. While the sidecar is silent, the attempt is probed; only its own connection, or the report that it was not received, ends it before the deadline. */
 export class Attempt implements SilentAttempt {
 	/** Resolves when the attempt ended. */
 	readonly ended: Promise<AttemptResult>;
 
-	/** Resolves when a probe got no response, so that the call may be sent to another node as well. */
+	/** Resolves when the response may be lost, so that the call may be sent to another node as well. */
 	readonly suspected: Promise<void>;
 
 	/** Whether the call counts this attempt as one that may have run. */
@@ -137,13 +135,7 @@
 			}
 
 			case attemptVerdicts.notReceived: {
-				this.#isNotReceived = true;
-				this.#cancelOnEvidence(verdict, 'the sidecar has not received the call');
-				return;
-			}
-
-			case attemptVerdicts.lost: {
-				this.#cancelOnEvidence(verdict, `the sidecar sends no response to the call any more: ${describeOutcome(outcome)}`);
+				this.#cancelAsNotReceived();
 			}
 		}
 	}
@@ -200,16 +192,14 @@
 	};
 
 	#handleSuspicion(outcome: ProbeOutcome): void {
-		const {chooser, pools} = this.#dependencies;
-		this.#failedProbes++;
-		pools.closeIfUnresponsive(this.origin, this.#startedAt);
-		if ((outcome.kind === 'unreachable' || this.#failedProbes >= maxFailedProbes) && chooser.findExclusion(this.member) === undefined) {
-			chooser.recordUnreachable(this.member);
+		this.#dependencies.pools.closeIfUnresponsive(this.origin, this.#startedAt);
+		if (outcome.kind !== 'reported') {
+			this.#handleFailedProbe(outcome);
 		}
 
 		if (!this.#isSuspect) {
 			this.#isSuspect = true;
-			this.#recordDecision({}, 'A sidecar does not respond to probes');
+			this.#recordDecision({}, outcome.kind === 'reported' ? 'The response to an attempt may be lost' : 'A sidecar does not respond to probes');
 		}
 
 		if (!this.#hasForwarded) {
@@ -217,11 +207,20 @@
 		}
 	}
 
-	/** Ends the attempt on evidence that its connection no longer works. */
-	#cancelOnEvidence(verdict: AttemptVerdict, reason: string): void {
-		this.#recordDecision({verdict}, 'Ended an attempt at a silent sidecar');
+	#handleFailedProbe({kind}: ProbeOutcome): void {
+		const {chooser} = this.#dependencies;
+		this.#failedProbes++;
+		if ((kind === 'unreachable' || this.#failedProbes >= maxFailedProbes) && chooser.findExclusion(this.member) === undefined) {
+			chooser.recordUnreachable(this.member);
+		}
+	}
+
+	/** Ends the attempt, as the sidecar reported that it has not received it and will refuse it. */
+	#cancelAsNotReceived(): void {
+		this.#isNotReceived = true;
+		this.#recordDecision({verdict: attemptVerdicts.notReceived}, 'Ended an attempt at a silent sidecar');
 		this.#dependencies.pools.closeIfUnresponsive(this.origin, this.#startedAt);
-		this.#cancellation.cancel(new Error(reason));
+		this.#cancellation.cancel(new Error('the sidecar has not received the call'));
 	}
 
 	#describeProbes(): string {
