Count the time since an attempt ended anew when bytes of its response arrive

An idempotent call whose large response arrived slowly was sent to a second node, as the time was counted from the first report of "ended", whatever came since.

Evidence: npx ava packages/callers/src/test/silent-response_test.ts, without the reset: 'are not asked of a second node while parts of them arrive after the sidecar has sent them' fails (suspected); with it 3 passed.

--- a/packages/callers/src/attempt-verdict.ts
+++ b/packages/callers/src/attempt-verdict.ts
@@ -38,7 +38,7 @@
 	/** Time left until its deadline. */
 	readonly timeLeft: number;
 
-	/** Time since a probe first reported that it ended; undefined before. */
+	/** Time since a probe first reported that it ended, counted anew after a byte of its response; undefined before. */
 	readonly endedFor: number | undefined;
 };
 
--- a/packages/callers/src/attempt.ts
+++ b/packages/callers/src/attempt.ts
@@ -182,6 +182,7 @@
 		if (isSilent) {
 			attemptProber.add(this);
 		} else {
+			this.#endedAt = undefined;
 			attemptProber.remove(this);
 		}
 	};
--- a/packages/callers/src/test/silent-response_test.ts
+++ b/packages/callers/src/test/silent-response_test.ts
@@ -19,6 +19,9 @@
 const responseBytes = 100_000;
 const deadlineMs = 5000;
 
+/** Short, so that the sidecar counts as silent soon. */
+const shortDeadlineMs = 700;
+
 /** Time after a part of the response at which a probe is sent, and then until the next part. */
 const silenceMs = 600;
 const restMs = 100;
@@ -165,6 +168,29 @@
 		await sending.stop();
 	});
 
+	it('are not asked of a second node while parts of them arrive after the sidecar has sent them', async t => {
+		const sending = new SendingAttempt(shortDeadlineMs);
+		let isSuspected = false;
+		void sending.attempt.suspected.then(() => {
+			isSuspected = true;
+		});
+		for (let part = 0; part < 2; part++) {
+			await waitUntil(() => sending.isSilent);
+			await sending.clock.advance(silenceMs);
+			sending.attempt.handleProbe(ended);
+			sending.receivePart();
+		}
+
+		await waitUntil(() => sending.isSilent);
+		t.false(isSuspected);
+		sending.attempt.handleProbe(ended);
+		await sending.clock.advance(silenceMs);
+		sending.attempt.handleProbe(ended);
+		await sending.attempt.suspected;
+		t.is(sending.abortReason, undefined);
+		await sending.stop();
+	});
+
 	it('are not given up if the sidecar stops after it has sent them', async t => {
 		await withHarness(async harness => {
 			const vm = await harness.addVm(buildResponder('whole'));
