Forget attempts whose connection closed before their body was whole

A sidecar reported such an attempt as running for ever, and never forgot its identifier: it ended while its body was read, was then admitted, and set running.

The registry leaves an attempt that ended as ended, and admission refuses a call that is cancelled already, so that it takes no slot either.

--- a/packages/upstreams/src/admission.ts
+++ b/packages/upstreams/src/admission.ts
@@ -157,6 +157,10 @@
 			return this.#buildRefusal(request, refusalCauses.leaving);
 		}
 
+		if (request.cancellation.isCancelled) {
+			return this.#buildRefusal(request, refusalCauses.cancelled);
+		}
+
 		const isShort = this.#isShort(request);
 		const priority = isShort ? shortCallPriority : request.priority;
 		const now = this.#clock.now();
--- a/packages/upstreams/src/attempt-registry.ts
+++ b/packages/upstreams/src/attempt-registry.ts
@@ -19,7 +19,7 @@
 
 /** An attempt in flight at this sidecar. */
 export type RegisteredAttempt = {
-	/** Sets that the upstream got the call. */
+	/** Sets that the upstream got the call; has no effect after the end. */
 	setRunning(): void;
 
 	/** Sets that the response was sent, or its connection was closed. */
@@ -68,7 +68,9 @@
 		this.#inFlight.set(id, attemptStates.queued);
 		return {
 			setRunning: () => {
-				this.#inFlight.set(id, attemptStates.running);
+				if (this.#inFlight.has(id)) {
+					this.#inFlight.set(id, attemptStates.running);
+				}
 			},
 			setEnded: () => {
 				this.#recordEnd(id, endedUntil);
--- a/packages/upstreams/src/test/admission_test.ts
+++ b/packages/upstreams/src/test/admission_test.ts
@@ -48,6 +48,15 @@
 		t.is(control.waiting, 4);
 	});
 
+	it('does not admit a call that was cancelled before, as while its body arrived', async t => {
+		const control = new AdmissionControl(new FakeClock(), 1);
+		const cancellation = new Cancellation();
+		cancellation.cancel(new Error('the caller left'));
+		const cancelled = await control.admit(buildRequest({cancellation}));
+		t.is(cancelled.kind === 'refused' && cancelled.refusal.outcome, 'not-run');
+		t.is(control.running, 0);
+	});
+
 	it('refuses at once a call that could not end before its deadline', async t => {
 		const clock = new FakeClock();
 		const control = new AdmissionControl(clock, 1);
