Eject a node after two probes in a row without a connection

One probe that got no connection within 300 ms ejected a working upstream at once, while two unanswered ones in a row were needed; on a full link one lost packet of the handshake takes longer than that.

Evidence: npx ava packages/callers/src/test/silent-response_test.ts, before: 'do not make their node ejected by one probe that got no connection' failed; after: silent-*_test.ts, faulty-call_test.ts and call_test.ts, 59 passed.

--- a/packages/callers/src/attempt.ts
+++ b/packages/callers/src/attempt.ts
@@ -195,7 +195,7 @@
 	#handleSuspicion(outcome: ProbeOutcome): void {
 		this.#dependencies.pools.closeIfUnresponsive(this.origin, this.#startedAt);
 		if (outcome.kind !== 'reported') {
-			this.#handleFailedProbe(outcome);
+			this.#handleFailedProbe();
 		}
 
 		if (!this.#isSuspect) {
@@ -208,10 +208,10 @@
 		}
 	}
 
-	#handleFailedProbe({kind}: ProbeOutcome): void {
+	#handleFailedProbe(): void {
 		const {chooser} = this.#dependencies;
 		this.#failedProbes++;
-		if ((kind === 'unreachable' || this.#failedProbes >= maxFailedProbes) && chooser.findExclusion(this.member) === undefined) {
+		if (this.#failedProbes >= maxFailedProbes && chooser.findExclusion(this.member) === undefined) {
 			chooser.recordUnreachable(this.member);
 		}
 	}
--- a/packages/callers/src/test/silent-response_test.ts
+++ b/packages/callers/src/test/silent-response_test.ts
@@ -26,6 +26,7 @@
 const silenceMs = 600;
 const restMs = 100;
 const ended: ProbeOutcome = {kind: 'reported', state: attemptStates.ended, knownFor: 60_000};
+const unreachable: ProbeOutcome = {kind: 'unreachable', reason: 'connect timeout'};
 
 const member: Member = {
 	id: 'p0',
@@ -93,6 +94,7 @@
 	readonly clock = new FakeClock();
 	readonly attempt: Attempt;
 	abortReason: Error | undefined;
+	ejections = 0;
 	isSilent = false;
 	readonly #cancellation = new Cancellation();
 	#handler: Dispatcher.DispatchHandler | undefined;
@@ -122,7 +124,14 @@
 		this.attempt = new Attempt({
 			clock: this.clock,
 			pools: {getPool: () => pool, closeIfUnresponsive: () => false, recordResponse: () => undefined},
-			chooser: {recordStart: () => undefined, recordEnd: () => undefined},
+			chooser: {
+				recordStart: () => undefined,
+				recordEnd: () => undefined,
+				findExclusion: () => undefined,
+				recordUnreachable: () => {
+					this.ejections++;
+				},
+			},
 			attemptProber,
 			decisionLog: {record: () => undefined},
 		} as unknown as CallerListenerDependencies, {
@@ -191,6 +200,18 @@
 		await sending.stop();
 	});
 
+	it('do not make their node ejected by one probe that got no connection', async t => {
+		const sending = new SendingAttempt(deadlineMs);
+		sending.attempt.handleProbe(unreachable);
+		t.is(sending.ejections, 0);
+		sending.attempt.handleProbe(ended);
+		sending.attempt.handleProbe(unreachable);
+		t.is(sending.ejections, 0);
+		sending.attempt.handleProbe(unreachable);
+		t.is(sending.ejections, 1);
+		await sending.stop();
+	});
+
 	it('are not given up if the sidecar stops after it has sent them', async t => {
 		await withHarness(async harness => {
 			const vm = await harness.addVm(buildResponder('whole'));
