Do not count a cancelled attempt as a success of its node

An attempt that was cancelled, as another node responded first, the caller left or the deadline passed, cleared the failures and the ejections of its node, so that a failing node stayed a candidate. Its end shows neither now, unless the sidecar was suspect, which counts as a failure as before.

--- a/packages/callers/src/attempt.ts
+++ b/packages/callers/src/attempt.ts
@@ -252,7 +252,8 @@
 		const isLost = result.kind === 'unsent' || result.kind === 'unanswered' || result.kind === 'cut';
 		const isInconclusive = isCallCancelled || this.#isSuperseded;
 		const load = 'headers' in result ? Number(result.headers[meshHeaders.load]) : undefined;
-		chooser.recordEnd(this.member, isLost && !this.#isNotReceived && (this.#isSuspect || !isInconclusive), load);
+		const isFailure = isLost && !this.#isNotReceived;
+		chooser.recordEnd(this.member, isFailure && isInconclusive && !this.#isSuspect ? undefined : isFailure, load);
 		const isTimeEnough = !isInconclusive || age > unreachableAfterMs;
 		if (result.kind === 'unsent' && isTimeEnough && !pools.hasBeenReachable(this.origin, this.#startedAt)) {
 			chooser.recordUnreachable(this.member);
--- a/packages/callers/src/target-chooser.ts
+++ b/packages/callers/src/target-chooser.ts
@@ -172,8 +172,8 @@
 		this.#getState(member).inFlight++;
 	}
 
-	/** Records the end of an attempt, with the load that the sidecar reported. */
-	recordEnd(member: Member, isFailure: boolean, reportedLoad: number | undefined): void {
+	/** Records the end of an attempt, with the load that the sidecar reported; `isFailure` is undefined if the end shows nothing about the upstream. */
+	recordEnd(member: Member, isFailure: boolean | undefined, reportedLoad: number | undefined): void {
 		const state = this.#getState(member);
 		state.inFlight = Math.max(0, state.inFlight - 1);
 		if (reportedLoad !== undefined && Number.isFinite(reportedLoad)) {
@@ -183,6 +183,10 @@
 			this.#meanLoads.set(member.service, meanLoad + ((state.reportedLoad - meanLoad) * meanLoadWeight));
 		}
 
+		if (isFailure === undefined) {
+			return;
+		}
+
 		if (!isFailure) {
 			state.consecutiveFailures = 0;
 			state.ejections = 0;
--- a/packages/callers/src/test/silent-response_test.ts
+++ b/packages/callers/src/test/silent-response_test.ts
@@ -95,6 +95,7 @@
 	readonly attempt: Attempt;
 	abortReason: Error | undefined;
 	ejections = 0;
+	isFailure: boolean | undefined = false;
 	isSilent = false;
 	readonly #cancellation = new Cancellation();
 	#handler: Dispatcher.DispatchHandler | undefined;
@@ -126,7 +127,9 @@
 			pools: {getPool: () => pool, closeIfUnresponsive: () => false, recordResponse: () => undefined},
 			chooser: {
 				recordStart: () => undefined,
-				recordEnd: () => undefined,
+				recordEnd: (_member: Member, isFailure: boolean | undefined) => {
+					this.isFailure = isFailure;
+				},
 				findExclusion: () => undefined,
 				recordUnreachable: () => {
 					this.ejections++;
@@ -212,6 +215,12 @@
 		await sending.stop();
 	});
 
+	it('count neither as a success nor as a failure of their node if the call is cancelled', async t => {
+		const sending = new SendingAttempt(deadlineMs);
+		await sending.stop();
+		t.is(sending.isFailure, undefined);
+	});
+
 	it('are not given up if the sidecar stops after it has sent them', async t => {
 		await withHarness(async harness => {
 			const vm = await harness.addVm(buildResponder('whole'));
--- a/packages/callers/src/test/target-chooser_test.ts
+++ b/packages/callers/src/test/target-chooser_test.ts
@@ -64,6 +64,18 @@
 			chooser.recordEnd(member, false, load);
 		}
 
+		it('ejects one after failures in a row between which attempts were cancelled', t => {
+			const member = buildMember('failing', 'a');
+			const chooser = createLocalChooser(new FakeClock(), [member]);
+			for (const isFailure of [true, undefined, true, undefined, true]) {
+				t.is(chooser.findExclusion(member), undefined);
+				chooser.recordStart(member);
+				chooser.recordEnd(member, isFailure, undefined);
+			}
+
+			t.is(chooser.findExclusion(member), 'ejected');
+		});
+
 		it('does not take one whose reported load is some seconds old for an idle one', async t => {
 			const clock = new FakeClock();
 			const members = [buildMember('old', 'a'), buildMember('recent', 'a')] as const;
