--- a/packages/callers/src/test/silent-response_test.ts
+++ b/packages/callers/src/test/silent-response_test.ts
@@ -19,10 +19,14 @@
 const responseBytes = 100_000;
 const deadlineMs = 5000;
 
+/** Short, so that the sidecar counts as silent soon. */
+const shortDeadlineMs = 700;
+
 /** Time after a part of the response at which a probe is sent, and then until the next part. */
 const silenceMs = 600;
 const restMs = 100;
 const ended: ProbeOutcome = {kind: 'reported', state: attemptStates.ended, knownFor: 60_000};
+const unreachable: ProbeOutcome = {kind: 'unreachable', reason: 'connect timeout'};
 
 const member: Member = {
 	id: 'p0',
@@ -85,33 +89,55 @@
 	}
 }
 
-describe('responses over a full link', () => {
-	it('are not given up while parts of them arrive after the sidecar has sent them', async t => {
-		const clock = new FakeClock();
-		const cancellation = new Cancellation();
-		let abortReason: Error | undefined;
-		let handler: Dispatcher.DispatchHandler | undefined;
-		const controller = {
-			abort(reason: Error) {
-				abortReason = reason;
-			},
-			pause: () => undefined,
-			resume: () => undefined,
-		} as unknown as Dispatcher.DispatchController;
+/** An attempt whose sidecar has sent a large response, of which one part after another arrives. */
+class SendingAttempt {
+	readonly clock = new FakeClock();
+	readonly attempt: Attempt;
+	abortReason: Error | undefined;
+	ejections = 0;
+	isFailure: boolean | undefined = false;
+	isSilent = false;
+	readonly #cancellation = new Cancellation();
+	#handler: Dispatcher.DispatchHandler | undefined;
+	readonly #controller = {
+		abort: (reason: Error) => {
+			this.abortReason = reason;
+		},
+		pause: () => undefined,
+		resume: () => undefined,
+	} as unknown as Dispatcher.DispatchController;
+
+	constructor(timeLeft: number) {
 		const pool = {
-			dispatch(_options: unknown, given: Dispatcher.DispatchHandler) {
-				handler = given;
+			dispatch: (_options: unknown, handler: Dispatcher.DispatchHandler) => {
+				this.#handler = handler;
 				return true;
 			},
 		};
-		const dependencies = {
-			clock,
+		const attemptProber = {
+			add: () => {
+				this.isSilent = true;
+			},
+			remove: () => {
+				this.isSilent = false;
+			},
+		};
+		this.attempt = new Attempt({
+			clock: this.clock,
 			pools: {getPool: () => pool, closeIfUnresponsive: () => false, recordResponse: () => undefined},
-			chooser: {recordStart: () => undefined, recordEnd: () => undefined},
-			attemptProber: {add: () => undefined, remove: () => undefined},
+			chooser: {
+				recordStart: () => undefined,
+				recordEnd: (_member: Member, isFailure: boolean | undefined) => {
+					this.isFailure = isFailure;
+				},
+				findExclusion: () => undefined,
+				recordUnreachable: () => {
+					this.ejections++;
+				},
+			},
+			attemptProber,
 			decisionLog: {record: () => undefined},
-		} as unknown as CallerListenerDependencies;
-		const attempt = new Attempt(dependencies, {
+		} as unknown as CallerListenerDependencies, {
 			id: 'a-1',
 			member,
 			method: 'POST',
@@ -119,25 +145,80 @@
 			headers: {},
 			body: undefined,
 			response: {writeHead: () => undefined, end: () => undefined} as unknown as ServerResponse,
-			cancellation,
-			timeLeft: deadlineMs,
+			cancellation: this.#cancellation,
+			timeLeft,
 			isForwardable: () => true,
 			buildExtraHeaders: () => ({}),
 			onForward: () => undefined,
 		});
-		handler!.onRequestStart!(controller, {});
-		handler!.onResponseStart!(controller, 200, {'content-length': String(responseBytes)});
+		this.#handler!.onRequestStart!(this.#controller, {});
+		this.#handler!.onResponseStart!(this.#controller, 200, {'content-length': String(responseBytes)});
+	}
+
+	receivePart(): void {
+		this.#handler!.onResponseData!(this.#controller, Buffer.alloc(responseBytes / 4));
+	}
+
+	async stop(): Promise<void> {
+		this.#cancellation.cancel(new Error('the test ends'));
+		this.#handler!.onResponseError!(this.#controller, new Error('the test ends'));
+		await this.attempt.ended;
+	}
+}
+
+describe('responses over a full link', () => {
+	it('are not given up while parts of them arrive after the sidecar has sent them', async t => {
+		const sending = new SendingAttempt(deadlineMs);
+		for (let part = 0; part < 2; part++) {
+			await sending.clock.advance(silenceMs);
+			sending.attempt.handleProbe(ended);
+			await sending.clock.advance(restMs);
+			sending.receivePart();
+		}
+
+		t.is(sending.abortReason, undefined);
+		await sending.stop();
+	});
+
+	it('are not asked of a second node while parts of them arrive after the sidecar has sent them', async t => {
+		const sending = new SendingAttempt(shortDeadlineMs);
+		let isSuspected = false;
+		void sending.attempt.suspected.then(() => {
+			isSuspected = true;
+		});
 		for (let part = 0; part < 2; part++) {
-			await clock.advance(silenceMs);
-			attempt.handleProbe(ended);
-			await clock.advance(restMs);
-			handler!.onResponseData!(controller, Buffer.alloc(responseBytes / 4));
+			await waitUntil(() => sending.isSilent);
+			await sending.clock.advance(silenceMs);
+			sending.attempt.handleProbe(ended);
+			sending.receivePart();
 		}
 
-		t.is(abortReason, undefined);
-		cancellation.cancel(new Error('the test ends'));
-		handler!.onResponseError!(controller, new Error('the test ends'));
-		await attempt.ended;
+		await waitUntil(() => sending.isSilent);
+		t.false(isSuspected);
+		sending.attempt.handleProbe(ended);
+		await sending.clock.advance(silenceMs);
+		sending.attempt.handleProbe(ended);
+		await sending.attempt.suspected;
+		t.is(sending.abortReason, undefined);
+		await sending.stop();
+	});
+
+	it('do not make their node ejected by one probe that got no connection', async t => {
+		const sending = new SendingAttempt(deadlineMs);
+		sending.attempt.handleProbe(unreachable);
+		t.is(sending.ejections, 0);
+		sending.attempt.handleProbe(ended);
+		sending.attempt.handleProbe(unreachable);
+		t.is(sending.ejections, 0);
+		sending.attempt.handleProbe(unreachable);
+		t.is(sending.ejections, 1);
+		await sending.stop();
+	});
+
+	it('count neither as a success nor as a failure of their node if the call is cancelled', async t => {
+		const sending = new SendingAttempt(deadlineMs);
+		await sending.stop();
+		t.is(sending.isFailure, undefined);
 	});
 
 	it('are not given up if the sidecar stops after it has sent them', async t => {
