Read the next version before the last one counts as fresh for too long

What callers saw: a version that was written just after a reader's read came 2461 ms later to the nodes of a data centre whose reader then lost the store; the bound is 2000.

Cause: during its pause between two reads the reader hears the store by reading an empty table.

Change: the revision of such a response tells whether the store was written since. If not, it renews the freshness as before. If so, the freshness counts for at most 300 ms longer than from the start of the last read. For the next read to come in that time, the pause counts from the start of the last read, with the time of the reads of the empty table, and lasts at least half of the interval.

--- a/packages/store/src/table-follower.ts
+++ b/packages/store/src/table-follower.ts
@@ -30,6 +30,9 @@
 /** First wait for changes of a run or after a pause, where the store must be heard regularly. */
 const firstWaitMs = 1;
 
+/** Part of a pause that may count as heard while the store has later writes, from the start of the last read: they may be of this table, and another node must have time to read them if this one loses the store. */
+const maxUnreadMs = 300;
+
 /** Table without rows, whose reading shows at the least cost that the store answers. */
 const emptyTable = 'empty';
 
@@ -41,6 +44,9 @@
 	#failures = 0;
 	#lastResponseAt = Number.NEGATIVE_INFINITY;
 
+	/** Duration in milliseconds of the last read that did not wait for changes. */
+	#readDuration = 0;
+
 	/** Whether the next wait for changes is the first one of a run or after a pause; it shows at once that the store answers. */
 	#isFirstWait = true;
 
@@ -74,17 +80,21 @@
 
 	async #readOnce(signal: AbortSignal): Promise<void> {
 		const {
-			store, table, onRows, getMinInterval, maxWait,
+			store, table, clock, onRows, getMinInterval, maxWait,
 		} = this.#dependencies;
+		const startedAt = clock.now();
 		if (this.#cursor === undefined) {
 			const page = await store.readTable(table);
 			this.#recordResponse(page);
+			this.#readDuration = clock.now() - startedAt;
 			onRows(page.rows, true, page.era);
 			return;
 		}
 
 		const knownEra = this.#era;
 		const page = await store.waitForChanges(table, this.#cursor, signal, maxWait && this.#isFirstWait ? firstWaitMs : maxWait);
+		const duration = clock.now() - startedAt;
+		const readDuration = this.#isFirstWait ? duration : Math.min(duration, this.#readDuration);
 		this.#isFirstWait = false;
 		this.#recordResponse(page);
 		if (page.era !== knownEra) {
@@ -95,24 +105,27 @@
 
 		if (page.rows.length > 0) {
 			onRows(page.rows, false, page.era);
+			this.#readDuration = readDuration;
 			// Each change completes the pending feed requests of all nodes. Waiting here bounds their rate; the changes made meanwhile arrive together in the next response.
 			await this.#pause(getMinInterval?.() ?? 0, signal);
 			this.#isFirstWait = true;
 		}
 	}
 
-	async #pause(duration: number, signal: AbortSignal): Promise<void> {
+	/** Waits until an interval has passed since the start of the last read, but at least half of it. */
+	async #pause(interval: number, signal: AbortSignal): Promise<void> {
 		const {store, clock, maxWait} = this.#dependencies;
-		const step = maxWait ?? duration;
-		let rest = duration;
-		while (rest > step && !signal.aborted) {
+		const readAt = this.#lastResponseAt - this.#readDuration;
+		const until = Math.max(readAt + interval, this.#lastResponseAt + (interval / 2));
+		const step = maxWait ?? interval;
+		while (until - clock.now() > step && !signal.aborted) {
 			await clock.sleep(step, signal);
-			await store.readTable(emptyTable);
-			this.#lastResponseAt = clock.now();
-			rest -= step;
+			const {revision, era} = await store.readTable(emptyTable);
+			const isCurrent = revision === this.#cursor && era === this.#era;
+			this.#lastResponseAt = isCurrent ? clock.now() : Math.max(this.#lastResponseAt, readAt + maxUnreadMs);
 		}
 
-		await clock.sleep(rest, signal);
+		await clock.sleep(Math.max(0, until - clock.now()), signal);
 	}
 
 	/** @throws StepError if the response is of an earlier era than another one before it. */
