Keep a skipped update of a feed as a start of the next one

What nodes saw: a reader was given up with "the difference starts from version 2, which is not kept", after the receiver had got a later version elsewhere.

Cause: the sender starts each difference from what it sent last. The receiver skipped an update that was earlier than its current version and did not keep it, so that the next difference did not fit.

Change: the receiver decodes such an update and adds it to its history before the current version. It stays able to apply what the sender sends next, without a new feed and without a change of the wire format. An update to a version that it already keeps is not decoded.

--- a/packages/node/src/feed-follower.ts
+++ b/packages/node/src/feed-follower.ts
@@ -5,7 +5,7 @@
 import {type FeedTransport} from './feed-transport.js';
 import {type RowCache} from './row-cache.js';
 import {type FeedLine, type Freshness} from './rules-feed.js';
-import {type RulesHistory} from './rules-history.js';
+import {type RulesHistory, type RulesUpdate} from './rules-history.js';
 
 /** Dependencies of `FeedFollower`. */
 export type FeedFollowerDependencies = {
@@ -118,15 +118,13 @@
 	}
 
 	#handleLine({
-		version, freshFor, reader, update, rows: rowUpdate,
+		freshFor, reader, update, rows: rowUpdate,
 	}: FeedLine): void {
 		const {
-			id, history, rows, onRules, onLine,
+			id, rows, onLine,
 		} = this.#dependencies;
-		if (update !== undefined && version > history.version) {
-			this.#needsWhole = true;
-			onRules(history.decodeUpdate(update));
-			this.#needsWhole = false;
+		if (update !== undefined) {
+			this.#applyUpdate(update);
 		}
 
 		if (rowUpdate !== undefined && rows.cursor !== undefined) {
@@ -142,4 +140,22 @@
 
 		onLine();
 	}
+
+	#applyUpdate(update: RulesUpdate): void {
+		const {history, onRules} = this.#dependencies;
+		if (history.listVersions().includes(update.version)) {
+			return;
+		}
+
+		this.#needsWhole = true;
+		const rules = history.decodeUpdate(update);
+		if (update.version > history.version) {
+			onRules(rules);
+		} else {
+			// The sender starts its next difference from what it sent last.
+			history.addEarlier(rules);
+		}
+
+		this.#needsWhole = false;
+	}
 }
--- a/packages/node/src/rules-history.ts
+++ b/packages/node/src/rules-history.ts
@@ -53,6 +53,14 @@
 		this.#updates.clear();
 	}
 
+	/** Adds a version that is earlier than the current one, as a start of further updates. */
+	addEarlier(rules: AcceptedRules): void {
+		const {version} = rules.snapshot;
+		const earlier = this.#versions.filter(kept => kept.snapshot.version < version);
+		const later = this.#versions.filter(kept => kept.snapshot.version > version);
+		this.#versions = [...earlier, rules, ...later].slice(-maxKeptVersions);
+	}
+
 	/**
 	 * Encodes the update to the current version for another node.
 	 *
