Ask another peer where one does not have the reported version

What nodes saw: a node that was behind asked the same peer without end, if that peer had been restarted since it reported the version and its response brought no later one.

Cause: only a failed fetch led to the choice of another peer.

Change: a fetch that brings no later version leads to it as well, while the node is behind, and is logged.

npx ava packages/node/src/test/peer-state_test.ts: 7 tests pass; "no longer has the version, as it was restarted" timed out before after 5 s.

--- a/packages/node/src/peer-state.ts
+++ b/packages/node/src/peer-state.ts
@@ -150,14 +150,21 @@
 			this.#failures = getVersion() > before || !this.#isBehind ? 0 : this.#failures + 1;
 			if (getVersion() > before) {
 				log.info({origin, before, version: getVersion()}, 'Fetched a later version from a peer');
+			} else if (this.#isBehind) {
+				log.info({origin, version: before, reported: this.#reportedVersion}, 'A peer does not have the reported version');
+				this.#chooseOtherOrigin();
 			}
 		} catch (error) {
 			this.#failures++;
 			log.warn({origin, reason: describeError(error)}, 'Fetching the state of a peer failed');
-			this.#reportedOrigin = this.#choosePeer() ?? this.#reportedOrigin;
+			this.#chooseOtherOrigin();
 		}
 	}
 
+	#chooseOtherOrigin(): void {
+		this.#reportedOrigin = this.#choosePeer() ?? this.#reportedOrigin;
+	}
+
 	#choosePeer(): string | undefined {
 		const {membership, self, seedHosts, random} = this.#dependencies;
 		const members = membership.listAll().filter(member => member.state === MemberState.ALIVE && member.id !== self.id);
