--- a/packages/upstreams/src/admission.ts
+++ b/packages/upstreams/src/admission.ts
@@ -47,13 +47,7 @@
 const maxQueuedPerSlot = 4;
 
 /** Maximum number of queued calls per slot that are expected to miss their objective; they fill slots that would be idle. */
-const maxBestEffortPerSlot = 0.05;
-
-/** Time in milliseconds after the last call that was expected to meet its objective during which one slot is kept free for the next one. */
-const reservationMs = 300;
-
-/** Minimum number of slots of an upstream that keeps one free. */
-const minReservingSlots = 3;
+const maxBestEffortPerSlot = 0.25;
 
 /** A call counts as short if at most this time is left until its deadline: calls between services have 400 to 650 ms, calls from outside 800 ms and more. */
 const maxShortCallMs = 700;
@@ -86,8 +80,7 @@
  * priority first, then to calls that can still meet their objective, then to
  * the callers in round robin, then to the earliest objective. Under overload a
  * call that would miss its objective is refused at once while others can meet
- * theirs, so that the calls that are served are served in time; one that is
- * late leaves the last free slot to those that are in time. When the queue
+ * theirs, so that the calls that are served are served in time. When the queue
  * is full, the oldest call of the caller with the most queued calls of the
  * lowest priority is refused.
  */
@@ -97,9 +90,6 @@
 	readonly #priorityUsage = new PriorityUsage();
 	readonly #running = new RunningCalls();
 	readonly #queue = new AdmissionQueue();
-
-	/** Time of the last call of each priority that was expected to meet its objective. */
-	readonly #timelyCallTimes = new Map<number, number>();
 	#slots: number;
 	#isClosed = false;
 	#isSweeping = false;
@@ -163,22 +153,17 @@
 
 		const isShort = this.#isShort(request);
 		const priority = isShort ? shortCallPriority : request.priority;
-		const now = this.#clock.now();
 		const isImmediate = this.#queue.length === 0 && this.#canStart(request);
-		const expectedEnd = now + (isImmediate ? 0 : this.#estimateWait(request, priority)) + this.#serviceTimes.estimate(request.route);
+		const expectedEnd = this.#clock.now() + (isImmediate ? 0 : this.#estimateWait(request, priority)) + this.#serviceTimes.estimate(request.route);
 		if (expectedEnd > request.deadline) {
 			return this.#buildRefusal(request, refusalCauses.deadline);
 		}
 
-		const isBestEffort = expectedEnd > request.objective && !isShort;
-		if (!isBestEffort) {
-			this.#timelyCallTimes.set(priority, now);
-		}
-
 		if (isImmediate) {
 			return this.#startCall(request, priority);
 		}
 
+		const isBestEffort = expectedEnd > request.objective && !isShort;
 		if (isBestEffort && this.#queue.bestEffortCount >= this.#slots * maxBestEffortPerSlot) {
 			return this.#buildRefusal(request, refusalCauses.objective);
 		}
@@ -224,7 +209,6 @@
 				this.#refuse(this.#queue.findLowestPriority()!, refusalCauses.queueFull);
 			}
 
-			this.#startQueued();
 			void this.#runDeadlineSweep();
 			request.cancellation.addListener(() => {
 				this.#refuse(queued, refusalCauses.cancelled);
@@ -242,7 +226,6 @@
 		while (this.#queue.length > 0) {
 			await this.#clock.sleep(sweepIntervalMs);
 			this.#refuseNearDeadline();
-			this.#startQueued();
 		}
 
 		this.#isSweeping = false;
@@ -325,21 +308,7 @@
 	#findNext(): QueuedCall | undefined {
 		const exclusive = this.#queue.findExclusive();
 		const candidates = exclusive ? [exclusive] : this.#queue.listInOrder(queued => this.#isExpectedLate(queued));
-		return candidates.find(queued => this.#canStart(queued.request) && !this.#isHeldBack(queued));
-	}
-
-	/** Whether a queued call leaves the last free slot to calls of at least its priority that can still meet their objective, as one arrived lately. */
-	#isHeldBack(queued: QueuedCall): boolean {
-		return this.#slots >= minReservingSlots
-			&& this.#running.count >= this.#slots - 1
-			&& queued.priority !== shortCallPriority
-			&& this.#isExpectedLate(queued)
-			&& this.#hasRecentTimelyCall(queued.priority);
-	}
-
-	#hasRecentTimelyCall(lowestPriority: number): boolean {
-		const since = this.#clock.now() - reservationMs;
-		return [...this.#timelyCallTimes].some(([priority, time]) => priority <= lowestPriority && priority !== shortCallPriority && time > since);
+		return candidates.find(({request}) => this.#canStart(request));
 	}
 
 	/** Whether the call is expected to miss its objective. */
