--- a/packages/callers/src/test/target-chooser_test.ts
+++ b/packages/callers/src/test/target-chooser_test.ts
@@ -64,6 +64,18 @@
 			chooser.recordEnd(member, false, load);
 		}
 
+		it('ejects one after failures in a row between which attempts were cancelled', t => {
+			const member = buildMember('failing', 'a');
+			const chooser = createLocalChooser(new FakeClock(), [member]);
+			for (const isFailure of [true, undefined, true, undefined, true]) {
+				t.is(chooser.findExclusion(member), undefined);
+				chooser.recordStart(member);
+				chooser.recordEnd(member, isFailure, undefined);
+			}
+
+			t.is(chooser.findExclusion(member), 'ejected');
+		});
+
 		it('does not take one whose reported load is some seconds old for an idle one', async t => {
 			const clock = new FakeClock();
 			const members = [buildMember('old', 'a'), buildMember('recent', 'a')] as const;
@@ -120,6 +132,22 @@
 			t.is(chooser.choose('s', route, new Set())?.id, 'closed');
 		});
 
+		it('still chooses the only one of a service after it was ejected, as no other can serve', t => {
+			const members = [buildMember('only', 'a')] as const;
+			const chooser = createLocalChooser(new FakeClock(), members);
+			chooser.recordUnreachable(members[0]);
+			t.is(chooser.choose('s', route, new Set())?.id, 'only');
+			t.is(chooser.choose('s', route, new Set(['only'])), undefined);
+		});
+
+		it('does not leave out one that has changed its record since it was ejected', t => {
+			const members = [buildMember('back', 'a'), buildMember('other', 'a'), buildMember('third', 'a')] as const;
+			const chooser = createLocalChooser(new FakeClock(), members);
+			chooser.recordUnreachable(members[0]);
+			t.is(chooser.findExclusion(members[0]), 'ejected');
+			t.is(chooser.findExclusion({...members[0], incarnation: 2}), undefined);
+		});
+
 		it('keeps the ejection of one that never reported a load', async t => {
 			const clock = new FakeClock();
 			const members = [buildMember('unreachable', 'a'), buildMember('other', 'a'), buildMember('third', 'a')] as const;
--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -95,15 +95,15 @@
 /** Number of readers in each data centre: one reads the rules from the store for the others, one stands by. */
 const readerCount = 2;
 
-/** Turns of the event loop before the connections are closed: one to accept connections, one to read their requests, and one to refuse these. */
-const finalReadTurns = 3;
-
 /** Interval between two reads of members by a reader; changes of meanwhile go to its followers together. */
 const readerIntervalMs = 250;
 
 /** Tells followers to choose another node, as this one does not get the members. */
 const staleWord: Freshness = {until: Number.NEGATIVE_INFINITY, reader: ''};
 
+/** Turns of the event loop before the connections are closed: one to accept connections, one to read their requests, and one to refuse these. */
+const finalReadTurns = 3;
+
 /** Exclusive upper bound of the random `instance` of a member: an unsigned 32-bit number, as in the messages between peers. */
 const instanceLimit = 0x1_00_00_00_00;
 
@@ -309,15 +309,6 @@
 		});
 	}
 
-	/** Reads what has arrived while this process got no processor time, so that it is refused and not cut. */
-	async #readArrivedRequests(): Promise<void> {
-		for (let turn = 0; turn < finalReadTurns; turn++) {
-			await new Promise(resolve => {
-				setImmediate(resolve);
-			});
-		}
-	}
-
 	/** Returns the interval between two reads of members; none where another node sends them, and a short one where this node reads them for others. */
 	#getReadInterval(): number | undefined {
 		if (this.#rulesSync.isFollowing) {
@@ -327,6 +318,15 @@
 		return this.#ranking.isReader ? readerIntervalMs : undefined;
 	}
 
+	/** Reads what has arrived while this process got no processor time, so that it is refused and not cut. */
+	async #readArrivedRequests(): Promise<void> {
+		for (let turn = 0; turn < finalReadTurns; turn++) {
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		}
+	}
+
 	#getState({versions, includeMembers}: StateQuery): string {
 		const members = includeMembers ? this.#membership.listAll().filter(member => member.state === MemberState.ALIVE) : [];
 		return encodeState(this.#history.encodeUpdate(versions), members);
--- a/packages/node/src/test/rules-fleet.ts
+++ b/packages/node/src/test/rules-fleet.ts
@@ -1,6 +1,4 @@
 /** Fleet of nodes that spread versions among themselves in virtual time, with the real classes over connections in memory that count bytes. */
-import {type Buffer} from 'node:buffer';
-import {Writable} from 'node:stream';
 import {StepError} from '@ebonylead/base/errors.js';
 import {createLogger} from '@ebonylead/base/logs.js';
 import {SeededRandom} from '@ebonylead/base/random.js';
@@ -10,7 +8,7 @@
 import {type Rule} from '@ebonylead/rules/rules.js';
 import {EventClock} from '@ebonylead/stand-ins/event-clock.js';
 import {FakeRowStore} from '@ebonylead/stand-ins/fake-row-store.js';
-import {type RowPage, type RowStore} from '@ebonylead/store/row-store.js';
+import {type RowStore} from '@ebonylead/store/row-store.js';
 import {TableFollower} from '@ebonylead/store/table-follower.js';
 import {type FeedTransport} from '../feed-transport.js';
 import {ReaderRanking} from '../reader-ranking.js';
@@ -18,19 +16,15 @@
 import {RulesFeed} from '../rules-feed.js';
 import {RulesHistory} from '../rules-history.js';
 import {RulesSync} from '../rules-sync.js';
+import {
+	FeedConnection, NodeStore, feedWaitMs, latencyMs, storeTimeoutMs,
+} from './fleet-links.js';
 
 const ruleCount = 1600;
 const changedRuleCount = 4;
 
-/** Size of the operator's row of so many rules, and what a message costs beside its content. */
+/** Size of the operator's row of so many rules. */
 const rowBytes = 156_000;
-const messageBytes = 120;
-
-/** The slowest link of a VM, 3.5 Mbit/s, and the time of one way. */
-const linkBytesPerMs = 437;
-const latencyMs = 2;
-const storeTimeoutMs = 800;
-const feedWaitMs = 500;
 const freshnessMs = 1200;
 const versionIntervalMs = 1000;
 
@@ -64,67 +58,6 @@
 	isKilled: boolean;
 };
 
-/** Store as one node reaches it: slow by the node's link, and cut off on demand. */
-class NodeStore implements RowStore {
-	readonly #store: FakeRowStore;
-	readonly #clock: EventClock;
-	readonly #getNode: () => FleetNode;
-
-	constructor(store: FakeRowStore, clock: EventClock, getNode: () => FleetNode) {
-		this.#store = store;
-		this.#clock = clock;
-		this.#getNode = getNode;
-	}
-
-	async readTable(table: string): Promise<RowPage> {
-		return this.#transfer(async () => this.#store.readTable(table), storeTimeoutMs);
-	}
-
-	async waitForChanges(table: string, after: number, signal: AbortSignal, maxWait = feedWaitMs): Promise<RowPage> {
-		const waited = new AbortController();
-		const stop = () => {
-			waited.abort();
-		};
-
-		signal.addEventListener('abort', stop);
-		try {
-			return await this.#transfer(async () => {
-				void this.#clock.sleep(maxWait, waited.signal).then(stop);
-				return this.#store.waitForChanges(table, after, waited.signal);
-			}, maxWait + storeTimeoutMs);
-		} finally {
-			signal.removeEventListener('abort', stop);
-			stop();
-		}
-	}
-
-	async writeRow(): Promise<never> {
-		throw new StepError('write row', 'store', 'not used');
-	}
-
-	async #transfer(read: () => Promise<RowPage>, timeout: number): Promise<RowPage> {
-		const node = this.#getNode();
-		await this.#clock.sleep(latencyMs);
-		const wasCut = this.#isCut;
-		const page = wasCut ? undefined : await read();
-		if (page === undefined || this.#isCut) {
-			await this.#clock.sleep(timeout);
-			throw new StepError('read', 'store', 'no answer');
-		}
-
-		const bytes = messageBytes + page.rows.reduce((sum, row) => sum + (row.value?.length ?? 0), 0);
-		await this.#clock.sleep(latencyMs + (bytes / linkBytesPerMs));
-		node.counters.storeBytes += bytes;
-		node.counters.storeCalls++;
-		return page;
-	}
-
-	get #isCut(): boolean {
-		const {isStoreCut, isCut, isKilled} = this.#getNode();
-		return isStoreCut || isCut || isKilled;
-	}
-}
-
 /** Reads versions from the store; the row has the size of the operator's, and names the version. */
 class FleetRuleSource implements RuleSource {
 	readonly #follower: TableFollower;
@@ -161,58 +94,6 @@
 	}
 }
 
-/** Connection in memory on which a feed is sent. */
-class FeedConnection extends Writable {
-	readonly #chunks: Array<{readonly bytes: Uint8Array; readonly arrivesAt: number}> = [];
-	readonly #clock: EventClock;
-	readonly #isCut: () => boolean;
-	readonly #counters: ReadonlyArray<(bytes: number) => void>;
-	#wake: (() => void) | undefined;
-
-	constructor(clock: EventClock, isCut: () => boolean, counters: ReadonlyArray<(bytes: number) => void>) {
-		super();
-		this.#clock = clock;
-		this.#isCut = isCut;
-		this.#counters = counters;
-	}
-
-	override _write(chunk: Buffer, _encoding: string, callback: () => void): void {
-		for (const count of this.#counters) {
-			count(chunk.length + messageBytes);
-		}
-
-		if (!this.#isCut()) {
-			this.#chunks.push({bytes: chunk, arrivesAt: this.#clock.now() + latencyMs + (chunk.length / linkBytesPerMs)});
-			this.#wake?.();
-		}
-
-		callback();
-	}
-
-	override _destroy(_error: Error | null, callback: () => void): void {
-		this.#wake?.();
-		callback();
-	}
-
-	async * read(signal: AbortSignal): AsyncGenerator<Uint8Array> {
-		signal.addEventListener('abort', () => {
-			this.destroy();
-		});
-		while (!this.destroyed) {
-			const chunk = this.#chunks.shift();
-			if (chunk === undefined) {
-				await new Promise<void>(resolve => {
-					this.#wake = resolve;
-				});
-				continue;
-			}
-
-			await this.#clock.sleep(Math.max(0, chunk.arrivesAt - this.#clock.now()));
-			yield chunk.bytes;
-		}
-	}
-}
-
 /** The fleet, its store and its versions. */
 export class RulesFleet {
 	readonly clock = new EventClock();
--- a/packages/node/src/test/rules-fleet_test.ts
+++ b/packages/node/src/test/rules-fleet_test.ts
@@ -120,6 +120,31 @@
 	}
 });
 
+describe('spreading of a version that is written just after a read', () => {
+	/** While the reader rests after that read, before and after it has heard the store once more. */
+	const cutTimesMs = [500, 900, 1000];
+
+	it('is in time on every node if the reader loses the store before its next read', async t => {
+		for (const cutAfterMs of cutTimesMs) {
+			await withFleet({nodeCount: 6, dataCentreCount: 1, readerCount: 2}, async fleet => {
+				fleet.writeVersion();
+				await fleet.advance(10);
+				fleet.writeVersion();
+				await fleet.advance(cutAfterMs);
+				for (const node of fleet.listReaders().filter(({ranking}) => ranking.isReader)) {
+					node.isStoreCut = true;
+				}
+
+				await fleet.advance(2 * maxDelayMs);
+				t.deepEqual(fleet.listBehind(), []);
+				const delay = Math.max(...fleet.delays.filter(({version}) => version === fleet.version).map(found => found.delay));
+				t.log(cutAfterMs, delay);
+				t.true(delay <= maxDelayMs, String(delay));
+			});
+		}
+	});
+});
+
 describe('spreading of versions while the store does not answer', () => {
 	it('to one node, that node gets versions from its reader', async t => {
 		await withFleet(fleets[0]!, async fleet => {
@@ -191,3 +216,22 @@
 		await fleet.stop();
 	});
 });
+
+describe('a dead node that stays in the list of members', () => {
+	it('costs its followers no reading of the store when they try it again', async t => {
+		await withFleet(fleets[0]!, async fleet => {
+			const reader = fleet.listReaders('dc0').find(node => node.ranking.isReader)!;
+			reader.isCut = true;
+			await fleet.advance(5 * maxDelayMs);
+			const reading = new Set<string>();
+			for (let time = 0; time < 40_000; time += 100) {
+				await fleet.advance(100);
+				for (const node of fleet.nodes.filter(found => found !== reader && !found.sync.isFollowing)) {
+					reading.add(node.id);
+				}
+			}
+
+			t.is(reading.size, fleets[0]!.dataCentreCount);
+		});
+	});
+});
