Name what the store confirms, and what a silent sidecar holds, plainly

Comments, a constant and two variables; the log message "Gave up a reader" is now "Stopped following a node", as it is also written for nodes that are no readers. Behaviour is unchanged.

--- a/packages/callers/src/attempt-prober.ts
+++ b/packages/callers/src/attempt-prober.ts
@@ -87,8 +87,8 @@
 			// An attempt that ended meanwhile is no longer there. The others go to the end, so that each has its turn.
 			if (attempts.delete(attempt)) {
 				const outcome = outcomes[index]!;
-				const isThere = outcome.kind === 'reported' && (outcome.state === attemptStates.queued || outcome.state === attemptStates.running);
-				attempts.set(attempt, {at: now + (isThere ? pause : probePauseMs), pause: isThere ? Math.min(maxAttemptPauseMs, pause * 2) : probePauseMs});
+				const isHeld = outcome.kind === 'reported' && (outcome.state === attemptStates.queued || outcome.state === attemptStates.running);
+				attempts.set(attempt, {at: now + (isHeld ? pause : probePauseMs), pause: isHeld ? Math.min(maxAttemptPauseMs, pause * 2) : probePauseMs});
 				attempt.handleProbe(outcome);
 			}
 		}
--- a/packages/node/src/feed-follower.ts
+++ b/packages/node/src/feed-follower.ts
@@ -58,7 +58,7 @@
 		return this.#hasLine;
 	}
 
-	/** Freshness of the last word from the store that a feed delivered. */
+	/** Freshness of the last confirmation from the store that a feed delivered. */
 	get freshness(): Freshness {
 		return this.#freshness;
 	}
@@ -133,7 +133,7 @@
 
 		this.#hasLine = true;
 		const until = this.#lastBytesAt + freshFor;
-		// A word that this node got itself, and that returns over other nodes, tells nothing.
+		// A confirmation that this node got itself and that comes back from other nodes shows nothing new.
 		if (reader !== id && until > this.#freshness.until) {
 			this.#freshness = {until, reader};
 		}
--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -99,7 +99,7 @@
 const readerIntervalMs = 250;
 
 /** Tells followers to choose another node, as this one does not get the members. */
-const staleWord: Freshness = {until: Number.NEGATIVE_INFINITY, reader: ''};
+const expiredFreshness: Freshness = {until: Number.NEGATIVE_INFINITY, reader: ''};
 
 /** Turns of the event loop before the connections are closed: one to accept connections, one to read their requests, and one to refuse these. */
 const finalReadTurns = 3;
@@ -182,7 +182,7 @@
 		});
 		this.#rulesSync = this.#createRulesSync();
 		this.#rulesFeed = new RulesFeed({
-			history: this.#history, rows: this.#rows, clock, getFreshness: () => this.#directory.isUnavailable ? staleWord : this.#rulesSync.freshness,
+			history: this.#history, rows: this.#rows, clock, getFreshness: () => this.#directory.isUnavailable ? expiredFreshness : this.#rulesSync.freshness,
 		});
 		this.#stateFetcher = new PeerStateFetcher({
 			self: this.#directory.self,
--- a/packages/node/src/reader-ranking.ts
+++ b/packages/node/src/reader-ranking.ts
@@ -59,7 +59,7 @@
 		return this.#listOrigins(dataCentres.flatMap(dataCentre => this.#listReaders(dataCentre)));
 	}
 
-	/** Leaves a node out for a time, as it did not answer or has no fresh word from the store. */
+	/** Leaves a node out for a time, as it did not answer or has no fresh confirmation from the store. */
 	suspend(origin: string): void {
 		const {clock, random} = this.#dependencies;
 		const failures = (this.#suspensions.get(origin)?.failures ?? 0) + 1;
@@ -67,7 +67,7 @@
 		this.#suspensions.set(origin, {failures, until: clock.now() + (duration * (1 + random.next()) / 2)});
 	}
 
-	/** Ends the suspension of a node that has a fresh word from the store. */
+	/** Ends the suspension of a node that has a fresh confirmation from the store. */
 	release(origin: string): void {
 		this.#suspensions.delete(origin);
 	}
--- a/packages/node/src/relayed-row-store.ts
+++ b/packages/node/src/relayed-row-store.ts
@@ -13,7 +13,7 @@
 	readonly cache: RowCache;
 	readonly clock: Clock;
 
-	/** Whether another node that has a fresh word from the store sends the rows to this node. */
+	/** Whether another node that has a fresh confirmation from the store sends the rows to this node. */
 	readonly isRelayed: () => boolean;
 };
 
--- a/packages/node/src/rules-feed.ts
+++ b/packages/node/src/rules-feed.ts
@@ -9,10 +9,10 @@
 export type FeedLine = {
 	readonly version: number;
 
-	/** Time in milliseconds for which the sending node's last word from the store still counts as fresh; 0 if it does not. */
+	/** Time in milliseconds for which the sending node's last confirmation from the store still counts as fresh; 0 if it does not. */
 	readonly freshFor: number;
 
-	/** Identity of the node that got this word from the store. */
+	/** Identity of the node that got this confirmation from the store. */
 	readonly reader: string;
 	readonly update?: RulesUpdate;
 
@@ -20,7 +20,7 @@
 	readonly rows?: RowUpdate;
 };
 
-/** A word from the store: until which monotonic time it counts as fresh, and the identity of the node that got it. */
+/** A confirmation from the store: until which monotonic time it counts as fresh, and the identity of the node that got it. */
 export type Freshness = {readonly until: number; readonly reader: string};
 
 /** Dependencies of `RulesFeed`. */
@@ -29,14 +29,14 @@
 	readonly rows: RowCache;
 	readonly clock: Clock;
 
-	/** Returns the freshness of the last word from the store. */
+	/** Returns the freshness of the last confirmation from the store. */
 	readonly getFreshness: () => Freshness;
 };
 
 /** Longest interval between two lines. */
 const lineIntervalMs = 300;
 
-/** Interval at which a new word from the store is looked for, which is told at once. */
+/** Interval at which a new confirmation from the store is looked for, which is told at once. */
 const pollIntervalMs = 100;
 
 /** A node that follows this one. */
--- a/packages/node/src/rules-sync.ts
+++ b/packages/node/src/rules-sync.ts
@@ -39,7 +39,7 @@
 /** Rest of the freshness below which a reader that stands by reads the store, so that its followers need not leave it. */
 const takeoverMs = 200;
 
-/** Time for which a node is followed without a fresh word from the store, as it may just have become a reader and still read its first response. */
+/** Time for which a node is followed without a fresh confirmation from the store, as it may just have become a reader and still read its first response. */
 const catchUpTimeoutMs = 400;
 
 /** Time after which a node that is fresh is left for one that ranks before it. */
@@ -50,7 +50,7 @@
 const attemptBackoffBaseMs = 100;
 const maxAttemptBackoffMs = 2000;
 
-/** Bounds of the time between the loss of a fresh word from the store and the reading of the store itself. Other readers take over meanwhile; random, so that not all followers of a failed reader read at the same moment. */
+/** Bounds of the time between the loss of a fresh confirmation from the store and the reading of the store itself. Other readers take over meanwhile; random, so that not all followers of a failed reader read at the same moment. */
 const minFallbackDelayMs = 200;
 const maxFallbackDelayMs = 400;
 
@@ -91,7 +91,7 @@
 		});
 	}
 
-	/** Whether this node gets all from other nodes; also while it changes from one to the next, as long as the word of the last one is fresh. */
+	/** Whether this node gets all from other nodes; also while it changes from one to the next, as long as the confirmation that the last one sent is fresh. */
 	get isFollowing(): boolean {
 		return this.#isReaderFresh && !this.#reading.isActive;
 	}
@@ -101,7 +101,7 @@
 		return this.#reading.isActive && this.#dependencies.source.isUnavailable;
 	}
 
-	/** Freshness of this node's last word from the store, whether it came directly or by another node. */
+	/** Freshness of this node's last confirmation from the store, whether it came directly or by another node. */
 	get freshness(): Freshness {
 		const {id, source} = this.#dependencies;
 		const {freshness} = this.#follower;
@@ -166,7 +166,7 @@
 			this.#failures = 0;
 			ranking.release(origin);
 		} else if (this.#failures < minSlowFailures || clock.now() - startedAt > catchUpTimeoutMs) {
-			this.#handleFailure(origin, 'its last word from the store is too old');
+			this.#handleFailure(origin, 'its last confirmation from the store is too old');
 		}
 	}
 
@@ -179,7 +179,7 @@
 		this.#failures++;
 		const backoff = this.#failures < minSlowFailures ? 0 : computeBackoff(random, this.#failures - minSlowFailures + 1, attemptBackoffBaseMs, maxAttemptBackoffMs);
 		this.#nextAttemptAt = clock.now() + backoff;
-		log.warn({origin, reason}, 'Gave up a reader');
+		log.warn({origin, reason}, 'Stopped following a node');
 	}
 
 	/** Follows the preferred reader that is not suspended; a reader follows another one only while the store does not answer it. */
@@ -209,8 +209,8 @@
 	#listCandidates(): string[] {
 		const {ranking} = this.#dependencies;
 		const origins = ranking.listOrigins();
-		const mustGoFurther = this.#reading.isActive && !this.#isStoreFresh && (origins.length === 0 || this.#failures >= minSlowFailures);
-		return mustGoFurther ? [...ranking.listRemoteOrigins(), ...origins] : origins;
+		const mustAskRemote = this.#reading.isActive && !this.#isStoreFresh && (origins.length === 0 || this.#failures >= minSlowFailures);
+		return mustAskRemote ? [...ranking.listRemoteOrigins(), ...origins] : origins;
 	}
 
 	#chooseReading(isReader: boolean): void {
--- a/packages/node/src/test/rules-sync_test.ts
+++ b/packages/node/src/test/rules-sync_test.ts
@@ -117,7 +117,7 @@
 		});
 	});
 
-	it('ends where the reader sends no fresh word although this process did not stall', async t => {
+	it('ends where the reader sends no fresh confirmation although this process did not stall', async t => {
 		await withSync(async (clock, transport) => {
 			transport.send();
 			await clock.advance(lineIntervalMs);
