Keep the limits that upstreams name in their responses

Calls that get no request of the limit in time are refused at once, with the time of the next one. A response that may be older than the one that named the limit can't end or raise it. Entry nodes keep what they passed on and carry it on their attempts, so that a sidecar that has restarted knows the limit before it admits the first call; for the same reason they carry a leave.

--- a/packages/callers/src/attempt-headers.ts
+++ b/packages/callers/src/attempt-headers.ts
@@ -16,6 +16,9 @@
 	/** Number of upstreams that crashed while the call was in flight there. */
 	readonly crashes: number;
 
+	/** What this node knows of the upstream from its responses, encoded; undefined if that is nothing. */
+	readonly notice: string | undefined;
+
 	/** Remaining time of the deadline in milliseconds. */
 	readonly timeLeft: number;
 
@@ -52,6 +55,10 @@
 		headers[meshHeaders.suspect] = String(values.crashes);
 	}
 
+	if (values.notice !== undefined) {
+		headers[meshHeaders.notice] = values.notice;
+	}
+
 	if (values.origin !== undefined) {
 		headers[meshHeaders.origin] = values.origin;
 		headers[meshHeaders.version] = String(values.version);
--- a/packages/callers/src/attempt-refusals.ts
+++ b/packages/callers/src/attempt-refusals.ts
@@ -1,6 +1,8 @@
 /** Refusals of sidecars, and those of this node where no sidecar can be asked. */
 import {type ResponseHeaders} from '@ebonylead/upstreams/forward.js';
-import {meshHeaders, outcomes, type Refusal} from '@ebonylead/upstreams/upstreams.js';
+import {
+	capacityLimits, meshHeaders, outcomes, type CapacityLimit, type Refusal,
+} from '@ebonylead/upstreams/upstreams.js';
 
 /** Retry delay in milliseconds of the refusals by this node. */
 export const defaultRetryAfterMs = 200;
@@ -22,8 +24,12 @@
 		status,
 		outcome,
 		hasReachedUpstream: headers[meshHeaders.arrived] !== undefined,
-		isUpstreamFull: headers[meshHeaders.full] !== undefined,
+		lacking: readCapacityLimit(headers),
 		reason: String(headers[meshHeaders.reason] ?? `the upstream answered with status ${status}`),
 		retryAfter: retryAfter > 0 ? retryAfter : undefined,
 	};
 }
+
+function readCapacityLimit(headers: ResponseHeaders): CapacityLimit | undefined {
+	return Object.values(capacityLimits).find(value => value === headers[meshHeaders.full]);
+}
--- a/packages/callers/src/attempt.ts
+++ b/packages/callers/src/attempt.ts
@@ -163,7 +163,10 @@
 			response,
 			cancellation: this.#cancellation,
 			silence: {timeout: Math.max(minSilenceMs, Math.min(maxSilenceMs, timeLeft * silenceShare)), onChange: this.#handleSilence},
-			isForwardable,
+			isForwardable: (status, responseHeaders) => {
+				this.#recordNotice(responseHeaders);
+				return isForwardable(status, responseHeaders);
+			},
 			buildExtraHeaders,
 			onForward: this.#handleForward,
 			removeMeshHeaders: false,
@@ -173,6 +176,15 @@
 		return this.#isNotReceived && result.kind === 'unanswered' ? {kind: 'not-received', error: result.error} : result;
 	}
 
+	/** Records what the upstream says of itself, before any byte of its response is passed on. */
+	#recordNotice(headers: ResponseHeaders): void {
+		this.#dependencies.chooser.notices.record(this.member, {
+			text: headers[meshHeaders.notice],
+			isFromUpstream: headers[meshHeaders.outcome] === undefined,
+			sentAt: this.#startedAt,
+		});
+	}
+
 	readonly #handleCallCancel = (reason: Error) => {
 		this.#cancellation.cancel(reason);
 	};
--- a/packages/callers/src/call.ts
+++ b/packages/callers/src/call.ts
@@ -222,7 +222,7 @@
 			member,
 			method: this.#request.method ?? 'GET',
 			path: this.#request.url ?? '/',
-			headers: this.#buildHeaders(route, id, attemptNumber),
+			headers: this.#buildHeaders(route, id, member.id, attemptNumber),
 			body,
 			response: this.#response,
 			cancellation: this.#cancellation,
@@ -320,7 +320,7 @@
 		const mayHaveRun = this.#lastRefusal.outcome === outcomes.unknown;
 		this.#counts.recordEnd(attempt.id, {mayHaveRun, hasReachedUpstream: this.#lastRefusal.hasReachedUpstream ?? false});
 		// An upstream without capacity for a repeated call may have some for a new one.
-		if (this.#lastRefusal.isUpstreamFull && this.#age === 0) {
+		if (this.#lastRefusal.lacking !== undefined && this.#age === 0) {
 			this.#dependencies.chooser.recordCapacityRefusal(attempt.member, route, this.#lastRefusal);
 		}
 
@@ -332,7 +332,7 @@
 		return !mayHaveRun || route.rule.idempotent ? 'retry' : this.#lastRefusal;
 	}
 
-	#buildHeaders(route: Route, id: string, attemptNumber: number): Record<string, string | string[]> {
+	#buildHeaders(route: Route, id: string, memberId: string, attemptNumber: number): Record<string, string | string[]> {
 		const {rule} = route;
 		const elapsedMs = this.#age + this.#dependencies.clock.now() - this.#startedAt;
 		const headers = {...this.#headers};
@@ -341,6 +341,7 @@
 			id,
 			attempt: attemptNumber,
 			service: this.#service,
+			notice: this.#dependencies.chooser.notices.encode(memberId),
 			crashes: this.#crashes,
 			timeLeft: this.#timeLeft,
 			objectiveLeft: rule.objective === undefined ? undefined : rule.objective - elapsedMs,
--- a/packages/callers/src/target-chooser.ts
+++ b/packages/callers/src/target-chooser.ts
@@ -3,7 +3,8 @@
 import {type Member} from '@ebonylead/peers/generated/peers.js';
 import {type Membership} from '@ebonylead/peers/membership.js';
 import {type Route} from '@ebonylead/rules/route-table.js';
-import {outcomes, type Refusal} from '@ebonylead/upstreams/upstreams.js';
+import {capacityLimits, outcomes, type Refusal} from '@ebonylead/upstreams/upstreams.js';
+import {KnownNotices} from './known-notices.js';
 
 /** What this node observed of one upstream; times are monotonic, in milliseconds. */
 type TargetState = {
@@ -26,7 +27,7 @@
 };
 
 /** Why an upstream is no candidate at present; undefined if it is one. */
-export type ExclusionReason = 'ejected' | 'tried' | undefined;
+export type ExclusionReason = 'ejected' | 'tried' | 'leaving' | undefined;
 
 /** Number of consecutive failures after which an upstream is ejected. */
 const maxConsecutiveFailures = 3;
@@ -81,6 +82,9 @@
 const minFullMs = 10;
 const maxFullMs = 40;
 
+/** Maximum time in milliseconds for which an upstream counts as full that has no request of its limit left: up to the one that the refused call could have got. */
+const maxLimitedMs = 1000;
+
 /** The state of an upstream without attempts in flight is dropped this long after its last reported load, its last ejection and its start. */
 const stateTtlMs = 600_000;
 
@@ -92,6 +96,8 @@
  * with preference for the data centre that the rule names.
  */
 export class TargetChooser {
+	/** What upstreams said of themselves in their responses. */
+	readonly notices: KnownNotices;
 	readonly #membership: Membership;
 	readonly #dataCentre: string;
 	readonly #clock: Clock;
@@ -107,6 +113,7 @@
 		this.#dataCentre = dataCentre;
 		this.#clock = clock;
 		this.#random = random;
+		this.notices = new KnownNotices(clock);
 	}
 
 	/**
@@ -149,7 +156,10 @@
 
 	/** Records that an upstream refused a call of a route for lack of capacity. */
 	recordCapacityRefusal(member: Member, route: Route, refusal: Refusal): void {
-		const duration = Math.min(maxFullMs, Math.max(minFullMs, (refusal.retryAfter ?? 0) * fullRetryAfterShare));
+		const retryAfter = refusal.retryAfter ?? 0;
+		const duration = refusal.lacking === capacityLimits.rate
+			? Math.min(maxLimitedMs, retryAfter)
+			: Math.min(maxFullMs, Math.max(minFullMs, retryAfter * fullRetryAfterShare));
 		this.#getState(member).capacityRefusals.set(route.key, {
 			until: this.#clock.now() + duration,
 			refusal: {
@@ -164,6 +174,10 @@
 			return 'tried';
 		}
 
+		if (this.notices.isLeaving(member)) {
+			return 'leaving';
+		}
+
 		const state = this.#states.get(member.id);
 		const ejectedUntil = state?.incarnation === member.incarnation ? state.ejectedUntil : 0;
 		return ejectedUntil > this.#clock.now() ? 'ejected' : undefined;
@@ -218,9 +232,9 @@
 		state.ejectedUntil = this.#clock.now() + duration;
 	}
 
-	/** Lists the upstreams that were neither attempted nor ejected; ejected ones too if their share exceeds `maxEjectedShare`, or if a call would find none before its first attempt. */
+	/** Lists the upstreams that do not leave and were neither attempted nor ejected; ejected ones too if their share exceeds `maxEjectedShare`, or if a call would find none before its first attempt. */
 	#listCandidates(ready: readonly Member[], attemptedIds: ReadonlySet<string>): readonly Member[] {
-		const unattempted = attemptedIds.size === 0 ? ready : ready.filter(member => !attemptedIds.has(member.id));
+		const unattempted = ready.filter(member => !attemptedIds.has(member.id) && !this.notices.isLeaving(member));
 		const candidates = unattempted.filter(member => this.findExclusion(member) === undefined);
 		const ejectedCount = unattempted.length - candidates.length;
 		const isFirstWithoutCandidates = candidates.length === 0 && attemptedIds.size === 0;
--- a/packages/stand-ins/src/load-emulator.ts
+++ b/packages/stand-ins/src/load-emulator.ts
@@ -255,7 +255,7 @@
 
 			if (admission.kind === 'refused') {
 				retryAfter = admission.refusal.retryAfter ?? 0;
-				if (admission.refusal.isUpstreamFull) {
+				if (admission.refusal.lacking !== undefined) {
 					chooser.recordCapacityRefusal(member, route, admission.refusal);
 				}
 			}
--- a/packages/upstreams/src/admission-refusals.ts
+++ b/packages/upstreams/src/admission-refusals.ts
@@ -1,6 +1,6 @@
 /** Refusals by admission control. */
 import {
-	outcomes, refusalCauses, type SidecarRefusal, type RefusalCause,
+	capacityLimits, outcomes, refusalCauses, type CapacityLimit, type SidecarRefusal, type RefusalCause,
 } from './upstreams.js';
 
 /** Why admission control refuses a call. */
@@ -13,10 +13,17 @@
 	[refusalCauses.deadlineNear]: 'the deadline came too close while the call waited',
 	[refusalCauses.objective]: 'no slot comes free in time for the objective',
 	[refusalCauses.queueFull]: 'the queue is full',
+	[refusalCauses.rateLimit]: 'the limit that the upstream named leaves no request in time',
 	[refusalCauses.leaving]: 'the upstream is leaving',
 	[refusalCauses.cancelled]: 'the caller left or the deadline passed while the call waited',
 };
 
+const limitsByCause: Readonly<Partial<Record<AdmissionRefusalCause, CapacityLimit>>> = {
+	[refusalCauses.deadline]: capacityLimits.slots,
+	[refusalCauses.objective]: capacityLimits.slots,
+	[refusalCauses.rateLimit]: capacityLimits.rate,
+};
+
 /**
  * Builds the refusal of a call that got no slot.
  *
@@ -29,6 +36,6 @@
 		cause,
 		reason: reasons[cause],
 		retryAfter,
-		isUpstreamFull: cause === refusalCauses.deadline || cause === refusalCauses.objective,
+		lacking: limitsByCause[cause],
 	};
 }
--- a/packages/upstreams/src/admission.ts
+++ b/packages/upstreams/src/admission.ts
@@ -3,10 +3,11 @@
 import {buildAdmissionRefusal, type AdmissionRefusalCause} from './admission-refusals.js';
 import {AdmissionQueue, type QueuedCall} from './admission-queue.js';
 import {type Cancellation} from './cancellation.js';
+import {RateLimit} from './rate-limit.js';
 import {RunningCalls} from './running-calls.js';
-import {SlotSchedule} from './slot-schedule.js';
 import {PriorityUsage, ServiceTimes} from './service-times.js';
 import {refusalCauses, type SidecarRefusal} from './upstreams.js';
+import {WaitEstimator} from './wait-estimator.js';
 
 /** A call that needs a slot of the upstream. */
 export type AdmissionRequest = {
@@ -70,8 +71,9 @@
 /** Minimum retry-after time of a refusal. */
 const minRetryAfterMs = 50;
 
-/** Minimum share of the slots that is assumed to be free for a priority, so that the estimated wait stays finite. */
-const minFreeShare = 0.1;
+/** Minimum number of slots that the capacity of an upstream with a limit is compared to, so that its load stays finite. */
+const minWorth = 0.1;
+const millisecondsPerSecond = 1000;
 
 /**
  * Assigns the slots of one upstream to calls.
@@ -83,6 +85,9 @@
  * theirs, so that the calls that are served are served in time. When the queue
  * is full, the oldest call of the caller with the most queued calls of the
  * lowest priority is refused.
+ *
+ * Where the upstream names a limit, a call needs a request of that limit as well
+ * as a slot.
  */
 export class AdmissionControl {
 	readonly #clock: Clock;
@@ -90,6 +95,8 @@
 	readonly #priorityUsage = new PriorityUsage();
 	readonly #running = new RunningCalls();
 	readonly #queue = new AdmissionQueue();
+	readonly #rateLimit: RateLimit;
+	readonly #estimator: WaitEstimator;
 	#slots: number;
 	#isClosed = false;
 	#isSweeping = false;
@@ -98,15 +105,38 @@
 	constructor(clock: Clock, slots: number) {
 		this.#clock = clock;
 		this.#slots = slots;
+		this.#rateLimit = new RateLimit(clock);
+		this.#estimator = new WaitEstimator({
+			clock, queue: this.#queue, running: this.#running, serviceTimes: this.#serviceTimes, priorityUsage: this.#priorityUsage, rateLimit: this.#rateLimit,
+		});
 	}
 
-	/** Running and queued calls per slot; `closedLoad` while all calls are refused, so that entry nodes choose other candidates at once. */
+	/**
+	 * Running and queued calls per slot; `closedLoad` while all calls are refused, so that entry nodes choose other candidates at once.
+	 * An upstream with a limit counts as many slots as its limit keeps busy, and one that has no request left as busier by that.
+	 */
 	get load(): number {
 		if (this.#isClosed) {
 			return closedLoad;
 		}
 
-		return this.#slots === 0 ? 1 : (this.#running.count + this.#queue.length) / this.#slots;
+		if (this.#slots === 0) {
+			return 1;
+		}
+
+		const {rate} = this.#rateLimit;
+		const count = this.#running.count + this.#queue.length;
+		if (rate === undefined) {
+			return count / this.#slots;
+		}
+
+		const missingRequests = this.#rateLimit.computeWait() * rate / millisecondsPerSecond;
+		return (count + missingRequests) / this.#computeWorth(rate);
+	}
+
+	/** Requests per second that the upstream takes; undefined if it names no limit. */
+	get rateLimit(): number | undefined {
+		return this.#rateLimit.rate;
 	}
 
 	/** Number of running calls. */
@@ -120,8 +150,16 @@
 	}
 
 	/** Inputs of the wait estimate, for the log: the mean duration of a call in milliseconds, and the number of slots. */
-	get estimates(): {readonly mean: number; readonly slots: number} {
-		return {mean: Math.round(this.#serviceTimes.mean), slots: this.#slots};
+	get estimates(): {readonly mean: number; readonly slots: number; readonly rateLimit?: number; readonly requestWait?: number} {
+		const {rate} = this.#rateLimit;
+		const slotEstimates = {mean: Math.round(this.#serviceTimes.mean), slots: this.#slots};
+		return rate === undefined ? slotEstimates : {...slotEstimates, rateLimit: rate, requestWait: Math.round(this.#rateLimit.computeWait())};
+	}
+
+	/** Sets the limit of the upstream in requests per second, or removes it; running calls are not affected. */
+	setRateLimit(rate: number | undefined): void {
+		this.#rateLimit.setRate(rate);
+		this.#startQueued();
 	}
 
 	/** Sets the number of slots; running calls are not affected. */
@@ -154,9 +192,10 @@
 		const isShort = this.#isShort(request);
 		const priority = isShort ? shortCallPriority : request.priority;
 		const isImmediate = this.#queue.length === 0 && this.#canStart(request);
-		const expectedEnd = this.#clock.now() + (isImmediate ? 0 : this.#estimateWait(request, priority)) + this.#serviceTimes.estimate(request.route);
+		const expectedEnd = this.#clock.now() + (isImmediate ? 0 : this.#estimator.estimateWait(request, priority, this.#slots)) + this.#serviceTimes.estimate(request.route);
+		const isLimited = !isImmediate && this.#estimator.isWaitForRate(request, priority, this.#slots);
 		if (expectedEnd > request.deadline) {
-			return this.#buildRefusal(request, refusalCauses.deadline);
+			return this.#buildRefusal(request, isLimited ? refusalCauses.rateLimit : refusalCauses.deadline);
 		}
 
 		if (isImmediate) {
@@ -165,7 +204,7 @@
 
 		const isBestEffort = expectedEnd > request.objective && !isShort;
 		if (isBestEffort && this.#queue.bestEffortCount >= this.#slots * maxBestEffortPerSlot) {
-			return this.#buildRefusal(request, refusalCauses.objective);
+			return this.#buildRefusal(request, isLimited ? refusalCauses.rateLimit : refusalCauses.objective);
 		}
 
 		return this.#waitForSlot(request, priority, isBestEffort);
@@ -176,13 +215,14 @@
 			return false;
 		}
 
-		return this.#running.count < this.#slots && this.#running.countRoute(request.route) < (request.routeSlots ?? this.#slots);
+		return this.#rateLimit.computeWait() === 0 && this.#running.count < this.#slots && this.#running.countRoute(request.route) < (request.routeSlots ?? this.#slots);
 	}
 
 	#startCall(request: AdmissionRequest, priority: number): Admission {
 		const call = {route: request.route, startedAt: this.#clock.now(), isExclusive: request.isExclusive ?? false};
 		let isReleased = false;
 		this.#running.add(call);
+		this.#rateLimit.recordStart();
 		const release = () => {
 			if (isReleased) {
 				return;
@@ -226,6 +266,9 @@
 		while (this.#queue.length > 0) {
 			await this.#clock.sleep(sweepIntervalMs);
 			this.#refuseNearDeadline();
+			if (this.#rateLimit.rate !== undefined) {
+				this.#startQueued();
+			}
 		}
 
 		this.#isSweeping = false;
@@ -247,19 +290,7 @@
 
 	/** Refuses queued calls that won't end before their deadlines, even if no call of a higher priority arrives. */
 	#refuseHopeless(): void {
-		const now = this.#clock.now();
-		const schedule = this.#buildSchedule();
-		const hopeless: QueuedCall[] = [];
-		for (const queued of this.#queue.listInOrder(call => this.#isExpectedLate(call))) {
-			const {deadline, isExclusive, route} = queued.request;
-			const duration = this.#serviceTimes.estimate(route);
-			if (now + schedule.computeStart(isExclusive) + duration > deadline) {
-				hopeless.push(queued);
-			} else {
-				schedule.add(duration, isExclusive);
-			}
-		}
-
+		const hopeless = this.#estimator.listHopeless(this.#slots, this.#queue.listInOrder(call => this.#isExpectedLate(call)));
 		for (const queued of hopeless) {
 			this.#queue.remove(queued);
 		}
@@ -326,37 +357,14 @@
 		return deadline - now <= maxShortCallMs && objective > now + 1;
 	}
 
-	/**
-	 * Estimates the time in milliseconds until a call gets a slot, behind the
-	 * running calls and the queued ones ahead of it. It is longer the more slots
-	 * are used by calls of higher priority, which may arrive later.
-	 */
-	#estimateWait(request: AdmissionRequest, priority: number): number {
-		const schedule = this.#buildSchedule();
-		const slots = Math.max(1, this.#slots);
-		let queuedMs = this.#serviceTimes.mean;
-		for (const queued of this.#queue.listBefore(request, priority)) {
-			const duration = this.#serviceTimes.estimate(queued.request.route);
-			queuedMs += duration;
-			schedule.add(duration, queued.request.isExclusive);
-		}
-
-		const freeShare = 1 - (this.#priorityUsage.computeHigherPriorityUsage(priority, this.#clock.now()) / slots);
-		return Math.max(schedule.computeStart(request.isExclusive), queuedMs / slots) / Math.max(minFreeShare, freeShare);
-	}
-
-	#buildSchedule(): SlotSchedule {
-		const remainingTimes = this.#running.estimateRemainingTimes(this.#clock.now(), route => this.#serviceTimes.estimate(route));
-		const schedule = new SlotSchedule(Math.max(1, this.#slots), remainingTimes);
-		if (this.#running.hasExclusive) {
-			schedule.add(0, true);
-		}
-
-		return schedule;
+	/** Computes the number of slots that an upstream with a limit keeps busy. */
+	#computeWorth(rate: number): number {
+		const busySlots = this.#serviceTimes.hasSamples ? rate * this.#serviceTimes.mean / millisecondsPerSecond : this.#slots;
+		return Math.max(minWorth, Math.min(this.#slots, busySlots));
 	}
 
 	#buildRefusal(request: AdmissionRequest, cause: AdmissionRefusalCause): Admission {
-		const wait = this.#estimateWait(request, this.#isShort(request) ? shortCallPriority : request.priority);
+		const wait = this.#estimator.estimateWait(request, this.#isShort(request) ? shortCallPriority : request.priority, this.#slots);
 		return {kind: 'refused', refusal: buildAdmissionRefusal(cause, Math.max(minRetryAfterMs, Math.ceil(wait)))};
 	}
 }
--- a/packages/upstreams/src/local-upstream.ts
+++ b/packages/upstreams/src/local-upstream.ts
@@ -4,6 +4,8 @@
 import {StateCell} from '@ebonylead/base/state-cell.js';
 import {Pool} from 'undici';
 import {AdmissionControl} from './admission.js';
+import {NamedLimit} from './named-limit.js';
+import {buildIncarnationKey, type CarriedNotice, type UpstreamNotice} from './upstream-notice.js';
 import {type UpstreamAnnouncement} from './upstreams.js';
 
 /** Whether the upstream accepts calls, and for which service with how many slots. */
@@ -24,7 +26,24 @@
 /** Connections in addition to the number of slots, as some may be closing. */
 const spareConnections = 4;
 
-/** Tracks the state of the local upstream by its announcements. */
+/** Maximum number of upstream processes that are remembered to have left; far more than can have announcements or responses in transit. */
+const maxLeft = 64;
+
+/** A response of the upstream, as far as it shows what the upstream says of itself. */
+export type NoticedResponse = {
+	readonly notice: UpstreamNotice;
+
+	/** Key of the upstream process that the request was sent to. */
+	readonly incarnation: string;
+
+	/** Monotonic time in milliseconds at which the request was sent. */
+	readonly requestedAt: number;
+
+	/** Whether the response is the upstream's own to a call that ran. Only such a response shows that a limit has ended. */
+	readonly isFinal: boolean;
+};
+
+/** Tracks the state of the local upstream by its announcements and responses. */
 export class LocalUpstream {
 	/** Current status; observers are notified of each change. */
 	readonly status = new StateCell<UpstreamStatus>({state: 'absent', service: '', slots: 0});
@@ -36,6 +55,13 @@
 	#announcement: UpstreamAnnouncement | undefined;
 	#announcedAt = 0;
 	#pool: Pool | undefined;
+	#namedLimit = new NamedLimit();
+
+	/** Whether a response of the present upstream process has arrived; before, other nodes may know its limit better. */
+	#hasResponded = false;
+
+	/** Keys of the upstream processes that leave or have left. An announcement from before may still arrive. */
+	readonly #left = new Set<string>();
 
 	constructor(clock: Clock, log: Logger) {
 		this.#clock = clock;
@@ -58,20 +84,80 @@
 		return this.#announcement?.instance ?? '';
 	}
 
-	/** Applies an announcement; the upstream repeats it as a heartbeat. */
+	/** Key of the upstream process; empty if none with an identity was announced. */
+	get incarnation(): string {
+		return buildIncarnationKey(this.#announcement?.instance, this.#announcement?.startedAt);
+	}
+
+	/** What the upstream says of itself at present, for other nodes; undefined if it names no limit and does not leave. */
+	get notice(): CarriedNotice | undefined {
+		const {incarnation} = this;
+		const {rate} = this.#namedLimit;
+		const isLeaving = this.#left.has(incarnation);
+		return incarnation === '' || (rate === undefined && !isLeaving)
+			? undefined
+			: {
+				incarnation, rateLimit: rate, isLeaving, age: 0,
+			};
+	}
+
+	/** Applies an announcement; the upstream repeats it as a heartbeat. A process that leaves does not become ready again. */
 	applyAnnouncement(announcement: UpstreamAnnouncement): void {
 		const previous = this.#announcement;
+		const before = this.incarnation;
 		this.#announcement = announcement;
 		this.#announcedAt = this.#clock.now();
 		if (this.#pool === undefined || previous?.url !== announcement.url || previous.instance !== announcement.instance || previous.connections !== announcement.connections) {
 			this.#replacePool(announcement);
 		}
 
+		if (before !== this.incarnation) {
+			this.#namedLimit = new NamedLimit();
+			this.#hasResponded = false;
+			this.admission.setRateLimit(undefined);
+		}
+
 		if (previous?.slots !== announcement.slots) {
 			this.admission.setSlots(announcement.slots);
 		}
 
-		this.#setState(announcement.state);
+		if (announcement.state === 'draining') {
+			this.#addLeft(this.incarnation);
+		}
+
+		this.#setState(this.#left.has(this.incarnation) ? 'draining' : announcement.state);
+	}
+
+	/** Records what a response of the upstream says of it. */
+	recordResponse({notice, incarnation, requestedAt, isFinal}: NoticedResponse): void {
+		if (incarnation !== this.incarnation) {
+			return;
+		}
+
+		if (isFinal || notice.rateLimit !== undefined) {
+			this.#hasResponded = true;
+			this.#recordLimit(notice.rateLimit, requestedAt, this.#clock.now(), 'a response');
+		}
+
+		if (notice.isLeaving) {
+			this.#handleLeave(incarnation, 'a response');
+		}
+	}
+
+	/**
+	 * Merges what another node knows of the upstream from responses that it
+	 * passed on, as this process may have started later than they were sent.
+	 */
+	mergeNotice({incarnation, rateLimit, isLeaving, age}: CarriedNotice): void {
+		if (isLeaving) {
+			this.#handleLeave(incarnation, 'another node');
+		}
+
+		if (rateLimit !== undefined && incarnation === this.incarnation && !this.#hasResponded) {
+			const namedAt = this.#clock.now() - age;
+			// The other node learned of it no earlier than the upstream named it.
+			this.#recordLimit(rateLimit, namedAt, namedAt, 'another node');
+		}
 	}
 
 	/** Marks the upstream as absent when its announcements stop; runs until the signal is aborted. */
@@ -95,6 +181,7 @@
 	/** Marks the upstream as draining, as its process is about to end; calls in flight continue. */
 	drain(): void {
 		if (this.#announcement) {
+			this.#addLeft(this.incarnation);
 			this.#setState('draining');
 		}
 	}
@@ -109,6 +196,40 @@
 		await this.#pool?.destroy();
 	}
 
+	#recordLimit(rate: number | undefined, requestedAt: number, respondedAt: number, source: string): void {
+		const before = this.#namedLimit.rate;
+		if (this.#namedLimit.record(rate, requestedAt, respondedAt)) {
+			this.#log.info({
+				instance: this.instance, limit: rate, before, source, age: Math.round(this.#clock.now() - respondedAt),
+			}, rate === undefined ? 'The upstream names no limit any more' : 'The upstream names a limit');
+			this.admission.setRateLimit(rate);
+		}
+	}
+
+	#handleLeave(incarnation: string, source: string): void {
+		this.#addLeft(incarnation);
+		if (incarnation === this.incarnation && this.status.value.state === 'ready') {
+			this.#log.info({instance: this.instance, source}, 'The upstream leaves');
+			this.#setState('draining');
+		}
+	}
+
+	#addLeft(incarnation: string): void {
+		// Without an identity, the next process could not be told from this one.
+		if (incarnation === '') {
+			return;
+		}
+
+		this.#left.add(incarnation);
+		for (const oldest of this.#left) {
+			if (this.#left.size <= maxLeft) {
+				return;
+			}
+
+			this.#left.delete(oldest);
+		}
+	}
+
 	#setState(state: UpstreamStatus['state']): void {
 		const {service, slots} = this.#announcement!;
 		const previous = this.status.value;
--- a/packages/upstreams/src/mesh-call.ts
+++ b/packages/upstreams/src/mesh-call.ts
@@ -6,11 +6,15 @@
 import {Cancellation} from './cancellation.js';
 import {type InFlightCall} from './crash-detector.js';
 import {computeFingerprint} from './fingerprint.js';
-import {copyRequestHeaders, forwardRequest, type ForwardResult} from './forward.js';
+import {
+	copyRequestHeaders, forwardRequest, type ForwardResult, type ResponseHeaders,
+} from './forward.js';
 import {type MeshListenerDependencies} from './mesh-listener.js';
 import {quarantineDurationMs, type QuarantineStatus} from './quarantine.js';
 import {sendRefusal} from './refusals.js';
+import {type ResponseValidation} from './upstream-protocol.js';
 import {readBody, type RequestBody} from './request-body.js';
+import {decodeNotice, encodeNotice} from './upstream-notice.js';
 import {readPositiveInteger, readHeader, readNonNegativeInteger} from './request-headers.js';
 import {
 	defaultPriority, meshHeaders, outcomes, refusalCauses, type SidecarRefusal,
@@ -110,6 +114,7 @@
 			return;
 		}
 
+		this.#mergeNotice();
 		const deadline = this.#startedAt + this.#deadline;
 		const objective = readPositiveInteger(this.#request, meshHeaders.objective);
 		await this.#readBody();
@@ -149,6 +154,14 @@
 		}
 	}
 
+	/** Merges what the entry node knows of the upstream, before the call is admitted. */
+	#mergeNotice(): void {
+		const notice = decodeNotice(this.#request.headers[meshHeaders.notice]);
+		if (notice !== undefined) {
+			this.#dependencies.localUpstream.mergeNotice(notice);
+		}
+	}
+
 	/** Returns the quarantine status of the request, after merging the crash count that the entry node learned from earlier attempts. */
 	#readQuarantineStatus(): QuarantineStatus {
 		const {quarantine} = this.#dependencies;
@@ -191,6 +204,8 @@
 			caller: readHeader(this.#request, meshHeaders.caller) ?? '',
 			instance: localUpstream.instance,
 		});
+		const {incarnation} = localUpstream;
+		const requestedAt = clock.now();
 		return forwardRequest({
 			dispatcher: localUpstream.pool,
 			origin: localUpstream.origin,
@@ -200,13 +215,45 @@
 			body: this.#body,
 			response: this.#response,
 			cancellation: this.#cancellation,
-			validateResponse: (status, responseHeaders) => protocol.validateResponse(status, responseHeaders, headers),
+			validateResponse: (status, responseHeaders) => {
+				const validation = protocol.validateResponse(status, responseHeaders, headers);
+				this.#recordNotice(validation, responseHeaders, incarnation, requestedAt);
+				return validation;
+			},
 			isForwardable: () => true,
-			buildExtraHeaders: () => ({[meshHeaders.load]: localUpstream.admission.load.toFixed(2)}),
+			buildExtraHeaders: () => this.#buildStateHeaders(),
 			removeMeshHeaders: true,
 		});
 	}
 
+	/** Records what the upstream says of itself, unless the response is of another process or belongs to another request. */
+	#recordNotice(validation: ResponseValidation, headers: ResponseHeaders, incarnation: string, requestedAt: number): void {
+		if (validation.kind === 'invalid' || (validation.kind === 'not-run' && validation.isOtherInstance)) {
+			return;
+		}
+
+		const {protocol, localUpstream, decisionLog} = this.#dependencies;
+		const {notice, fault} = protocol.readNotice(headers);
+		if (fault !== undefined) {
+			decisionLog.record({instance: localUpstream.instance, fault}, 'Ignored a limit of the upstream');
+		}
+
+		localUpstream.recordResponse({
+			notice, incarnation, requestedAt, isFinal: validation.kind === 'final',
+		});
+	}
+
+	/** Builds the headers that tell the entry node about the state of the upstream. */
+	#buildStateHeaders(): Record<string, string> {
+		const {admission, notice} = this.#dependencies.localUpstream;
+		const headers: Record<string, string> = {[meshHeaders.load]: admission.load.toFixed(2)};
+		if (notice !== undefined) {
+			headers[meshHeaders.notice] = encodeNotice(notice);
+		}
+
+		return headers;
+	}
+
 	async #handleResult(result: ForwardResult): Promise<void> {
 		const {localUpstream, log} = this.#dependencies;
 		switch (result.kind) {
@@ -290,7 +337,10 @@
 
 	#refuse(refusal: SidecarRefusal): void {
 		if (!this.#response.headersSent && !this.#response.destroyed) {
-			this.#response.setHeader(meshHeaders.load, this.#dependencies.localUpstream.admission.load.toFixed(2));
+			for (const [name, value] of Object.entries(this.#buildStateHeaders())) {
+				this.#response.setHeader(name, value);
+			}
+
 			if (this.#crashCount > 0) {
 				this.#response.setHeader(meshHeaders.suspect, String(this.#crashCount));
 			}
--- a/packages/upstreams/src/refusals.ts
+++ b/packages/upstreams/src/refusals.ts
@@ -37,8 +37,8 @@
 		headers[meshHeaders.arrived] = '1';
 	}
 
-	if (refusal.isUpstreamFull) {
-		headers[meshHeaders.full] = '1';
+	if (refusal.lacking !== undefined) {
+		headers[meshHeaders.full] = refusal.lacking;
 	}
 
 	response.writeHead(refusal.status, headers);
--- a/packages/upstreams/src/upstream-protocol.ts
+++ b/packages/upstreams/src/upstream-protocol.ts
@@ -1,5 +1,6 @@
 /** The HTTP headers and statuses that a sidecar and its local upstream exchange on a call. */
 import {type ResponseHeaders} from './forward.js';
+import {emptyNotice, parseRateLimit, type UpstreamNotice} from './upstream-notice.js';
 import {meshHeaders} from './upstreams.js';
 
 /** Properties of a call that is sent to an upstream. */
@@ -36,8 +37,22 @@
 
 	/** Classifies a response by its status and headers. */
 	validateResponse(status: number, responseHeaders: ResponseHeaders, requestHeaders: ResponseHeaders): ResponseValidation;
+
+	/** Returns what a response of the upstream says of it, or why it can't be read. A limit that can't be read counts as none. */
+	readNotice(responseHeaders: ResponseHeaders): {readonly notice: UpstreamNotice; readonly fault?: string};
 };
 
+/** Builds a notice from the two headers of a response. */
+export function buildNotice(rateLimitText: string | string[] | undefined, leavingText: string | string[] | undefined): {readonly notice: UpstreamNotice; readonly fault?: string} {
+	if (rateLimitText === undefined && leavingText === undefined) {
+		return {notice: emptyNotice};
+	}
+
+	const rateLimit = parseRateLimit(rateLimitText);
+	const notice = {rateLimit, isLeaving: leavingText === '1'};
+	return rateLimit === undefined && rateLimitText !== undefined ? {notice, fault: `the limit ${JSON.stringify(rateLimitText)} is no number from 0`} : {notice};
+}
+
 /** The default protocol, which takes every response as the upstream's own. */
 export class DefaultUpstreamProtocol implements UpstreamProtocol {
 	readRequestId(headers: ResponseHeaders): string | undefined {
@@ -53,4 +68,8 @@
 	validateResponse(): ResponseValidation {
 		return {kind: 'final'};
 	}
+
+	readNotice(headers: ResponseHeaders): {readonly notice: UpstreamNotice; readonly fault?: string} {
+		return buildNotice(headers[meshHeaders.rateLimit], headers[meshHeaders.leaving]);
+	}
 }
--- a/packages/upstreams/src/upstreams.ts
+++ b/packages/upstreams/src/upstreams.ts
@@ -32,7 +32,7 @@
 	/** `1` on a refusal by the upstream itself, so that the call has reached it. */
 	arrived: 'x-ebonylead-arrived',
 
-	/** `1` on a refusal for lack of capacity. */
+	/** One of `capacityLimits` on a refusal for lack of capacity. */
 	full: 'x-ebonylead-full',
 
 	/** Key of the matching rule. */
@@ -56,6 +56,15 @@
 	/** Number of upstream crashes at which the call was in flight. */
 	suspect: 'x-ebonylead-suspect',
 
+	/** What the upstream says of itself, on responses of its sidecar; what the entry node knows of it, on attempts. */
+	notice: 'x-ebonylead-notice',
+
+	/** Set by an upstream: the requests per second that it takes from all nodes together, as a decimal number. */
+	rateLimit: 'x-ebonylead-rate-limit',
+
+	/** Set by an upstream: `1` if it is about to end and must get no more calls. */
+	leaving: 'x-ebonylead-leaving',
+
 	/** Version of the rules that were applied to the call; between nodes, the active version of the sender. */
 	version: 'x-ebonylead-version',
 
@@ -95,6 +104,9 @@
 	/** The queue is full, and among its calls of the lowest priority this one was the oldest of the caller that has the most. */
 	queueFull: 'queue-full',
 
+	/** The limit that the upstream named allows the call neither before its deadline nor, behind others, in time for its objective. */
+	rateLimit: 'rate-limit',
+
 	/** The upstream is draining or absent. */
 	leaving: 'leaving',
 
@@ -120,6 +132,18 @@
 /** One of `refusalCauses`. */
 export type RefusalCause = typeof refusalCauses[keyof typeof refusalCauses];
 
+/** What an upstream lacks if it is full: values of the header `full`. */
+export const capacityLimits = {
+	/** Slots. */
+	slots: '1',
+
+	/** Requests of the limit that it named. */
+	rate: 'rate',
+} as const;
+
+/** One of `capacityLimits`. */
+export type CapacityLimit = typeof capacityLimits[keyof typeof capacityLimits];
+
 /** A refusal by a sidecar, with its cause for the metrics. */
 export type SidecarRefusal = Refusal & {readonly cause: RefusalCause};
 
@@ -135,8 +159,8 @@
 	/** Whether the call reached an upstream, which refused it. */
 	readonly hasReachedUpstream?: boolean;
 
-	/** Whether the upstream was expected to have no slot for the call in time. */
-	readonly isUpstreamFull?: boolean;
+	/** What the upstream is expected to lack for the call in time; undefined if it is not full. */
+	readonly lacking?: CapacityLimit;
 };
 
 /** Announcement of an upstream to its sidecar. */
@@ -156,6 +180,9 @@
 	/** Identity of the upstream process; undefined if it has none. */
 	readonly instance?: string;
 
+	/** Start time of the upstream process in milliseconds since the Unix epoch; undefined if it announced none. */
+	readonly startedAt?: number;
+
 	/** Milliseconds left of the warm-up after its start, in which the upstream is slower. */
 	readonly warmupLeft?: number;
 };
