Keep calls from an upstream that leaves, also after a restart of its sidecar

A node that stops keeps its row while the process of the upstream still runs, which one connection tells.

--- a/packages/node/src/announcement-handler.ts
+++ b/packages/node/src/announcement-handler.ts
@@ -16,7 +16,8 @@
 /** Timeout for writing the member record before the announcement of a leaving upstream is acknowledged. Upstreams wait for the acknowledgement for one second. */
 const leaveWriteTimeoutMs = 600;
 
-const upstreamStates = {absent: UpstreamState.ABSENT, ready: UpstreamState.READY, draining: UpstreamState.DRAINING} as const;
+/** State of an upstream in the member record, by the state of the local upstream. */
+export const upstreamStates = {absent: UpstreamState.ABSENT, ready: UpstreamState.READY, draining: UpstreamState.DRAINING} as const;
 
 /**
  * Applies announcements in order, and ignores those that are out of date.
--- a/packages/node/src/member-directory.ts
+++ b/packages/node/src/member-directory.ts
@@ -157,8 +157,8 @@
 	async #writeRecord(): Promise<void> {
 		const record = this.#self;
 		const era = this.#era;
-		const isRemoval = record.state === MemberState.LEFT && record.upstreamState !== UpstreamState.READY;
-		// A node that stops while its upstream is ready is expected to restart; its row is kept for the next process to restore.
+		// A node that stops beside a running upstream is expected to restart. The next process restores the row, so that it does not use an upstream that drains.
+		const isRemoval = record.state === MemberState.LEFT && record.upstreamState === UpstreamState.ABSENT;
 		const value = isRemoval ? undefined : encodeMember(record, this.#upstream, era);
 		const outcome = await this.#dependencies.store.writeRow(memberTable, record.id, value, this.#revision);
 		if (outcome.era < this.#era) {
--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -37,7 +37,7 @@
 import {RulesFeed, type Freshness} from './rules-feed.js';
 import {RulesHistory} from './rules-history.js';
 import {RulesSync} from './rules-sync.js';
-import {AnnouncementHandler} from './announcement-handler.js';
+import {AnnouncementHandler, upstreamStates} from './announcement-handler.js';
 
 /** Settings of a mesh node. */
 export type MeshNodeSettings = {
@@ -254,7 +254,8 @@
 		this.#log.info({open: this.#inFlightCount}, 'Stopping');
 		this.#localUpstream.admission.close();
 		this.#callerListener.disableKeepAlive();
-		await this.#directory.update({state: MemberState.LEFT}, leaveWriteTimeoutMs);
+		await this.#localUpstream.probeEnd();
+		await this.#directory.update({state: MemberState.LEFT, upstreamState: upstreamStates[this.#localUpstream.status.value.state]}, leaveWriteTimeoutMs);
 		const deadline = startedAt + this.#dependencies.settings.stopTimeout - closeReserveMs;
 		await this.#clock.sleep(startedAt + shutdownDelayMs - this.#clock.now());
 		this.#callerListener.refuseNewCalls();
--- a/packages/upstreams/src/crash-detector.ts
+++ b/packages/upstreams/src/crash-detector.ts
@@ -1,6 +1,6 @@
 /** Distinguishes a crash of the upstream from the loss of a single connection. */
-import {connect} from 'node:net';
 import {type Logger} from '@ebonylead/base/logs.js';
+import {isConnectionRefused} from './connection-probe.js';
 import {type Quarantine, type Suspect} from './quarantine.js';
 import {type LocalUpstream} from './local-upstream.js';
 
@@ -10,8 +10,6 @@
 	readonly computeFingerprint: () => string;
 };
 
-const probeTimeoutMs = 200;
-
 /** Tracks the calls in flight, and reports them as suspects when the upstream crashes. */
 export class CrashDetector {
 	readonly #localUpstream: LocalUpstream;
@@ -55,7 +53,7 @@
 
 	async #probe(): Promise<boolean> {
 		const calls = [...this.#calls];
-		const hasCrashed = await this.#isConnectionRefused();
+		const hasCrashed = await isConnectionRefused(this.#localUpstream.origin);
 		this.#pendingProbe = undefined;
 		if (!hasCrashed) {
 			return false;
@@ -67,25 +65,4 @@
 		this.#onSuspects(suspects);
 		return true;
 	}
-
-	async #isConnectionRefused(): Promise<boolean> {
-		const {hostname, port} = new URL(this.#localUpstream.origin);
-		return new Promise(resolve => {
-			const socket = connect({host: hostname, port: Number(port), timeout: probeTimeoutMs});
-			const finish = (isRefused: boolean) => {
-				socket.destroy();
-				resolve(isRefused);
-			};
-
-			socket.on('connect', () => {
-				finish(false);
-			});
-			socket.on('timeout', () => {
-				finish(false);
-			});
-			socket.on('error', error => {
-				finish((error as NodeJS.ErrnoException).code === 'ECONNREFUSED');
-			});
-		});
-	}
 }
--- a/packages/upstreams/src/local-upstream.ts
+++ b/packages/upstreams/src/local-upstream.ts
@@ -4,6 +4,7 @@
 import {StateCell} from '@ebonylead/base/state-cell.js';
 import {Pool} from 'undici';
 import {AdmissionControl} from './admission.js';
+import {isConnectionRefused} from './connection-probe.js';
 import {NamedLimit} from './named-limit.js';
 import {buildIncarnationKey, type CarriedNotice, type UpstreamNotice} from './upstream-notice.js';
 import {type UpstreamAnnouncement} from './upstreams.js';
@@ -178,6 +179,13 @@
 		this.#setState('absent');
 	}
 
+	/** Marks the upstream as absent if it was draining and its process has ended. */
+	async probeEnd(): Promise<void> {
+		if (this.status.value.state === 'draining' && await isConnectionRefused(this.origin)) {
+			this.#setState('absent');
+		}
+	}
+
 	/** Marks the upstream as draining, as its process is about to end; calls in flight continue. */
 	drain(): void {
 		if (this.#announcement) {
