Remember after a restart that an upstream has left, also when it fell silent since

A sidecar restored nothing from its row if its upstream was absent, so that it took any announcement from before its restart: a late heartbeat made an upstream ready that had left. The row says now whether the upstream has left, and its stamp orders announcements across restarts whatever the state.

Both tests of announcement-handler_test.ts failed before.

--- a/packages/node/src/announcement-handler.ts
+++ b/packages/node/src/announcement-handler.ts
@@ -2,6 +2,7 @@
 import {type Logger} from '@ebonylead/base/logs.js';
 import {UpstreamState} from '@ebonylead/peers/generated/peers.js';
 import {AnnouncementOrder, type AnnouncementStamp} from '@ebonylead/upstreams/announcement-order.js';
+import {buildIncarnationKey} from '@ebonylead/upstreams/upstream-notice.js';
 import {type LocalUpstream, type UpstreamStatus} from '@ebonylead/upstreams/local-upstream.js';
 import {type UpstreamAnnouncement} from '@ebonylead/upstreams/upstreams.js';
 import {type MemberDirectory} from './member-directory.js';
@@ -61,8 +62,16 @@
 	 * The upstream process may have ended in the meantime. This is harmless: each
 	 * call names the process that must handle it, and a different one rejects it.
 	 */
-	restore({announcement, stamp}: RecordedUpstream, state: UpstreamState): void {
-		if (state === UpstreamState.ABSENT || !this.#order.accept(stamp)) {
+	restore({announcement, stamp, hasLeft = false}: RecordedUpstream, state: UpstreamState): void {
+		if (!this.#order.accept(stamp)) {
+			return;
+		}
+
+		if (hasLeft) {
+			this.#localUpstream.recordLeft(buildIncarnationKey(stamp.instance, stamp.startedAt));
+		}
+
+		if (state === UpstreamState.ABSENT) {
 			return;
 		}
 
@@ -91,6 +100,7 @@
 	}
 
 	async #updateMember({state, service, slots}: UpstreamStatus, timeout: number): Promise<void> {
-		await this.#directory.update({upstreamState: upstreamStates[state], service, slots}, timeout, this.#newest);
+		const {hasLeft} = this.#localUpstream;
+		await this.#directory.update({upstreamState: upstreamStates[state], service, slots}, timeout, this.#newest && {...this.#newest, hasLeft});
 	}
 }
--- a/packages/node/src/member-row.ts
+++ b/packages/node/src/member-row.ts
@@ -8,6 +8,9 @@
 export type RecordedUpstream = {
 	readonly announcement: UpstreamAnnouncement;
 	readonly stamp: AnnouncementStamp;
+
+	/** Whether the upstream process leaves or has left, so that no later process of the node may use it. */
+	readonly hasLeft?: boolean;
 };
 
 /** Content of a row. The row's key is the member's id; its era and revision are the incarnation. */
--- /dev/null
+++ b/packages/node/src/test/announcement-handler_test.ts
@@ -0,0 +1,95 @@
+import {SystemClock} from '@ebonylead/base/base.js';
+import {createLogger} from '@ebonylead/base/logs.js';
+import {MemberState, UpstreamState} from '@ebonylead/peers/generated/peers.js';
+import {Membership} from '@ebonylead/peers/membership.js';
+import {describe, it} from '@ebonylead/stand-ins/describe.js';
+import {FakeRowStore} from '@ebonylead/stand-ins/fake-row-store.js';
+import {waitUntil} from '@ebonylead/stand-ins/wait-until.js';
+import {LocalUpstream} from '@ebonylead/upstreams/local-upstream.js';
+import {AnnouncementHandler, type StampedAnnouncement} from '../announcement-handler.js';
+import {MemberDirectory} from '../member-directory.js';
+
+const log = createLogger('silent');
+
+function buildAnnouncement(state: 'ready' | 'draining', sequence: number, startedAt = 1): StampedAnnouncement {
+	return {
+		announcement: {
+			service: 's', url: 'http://127.0.0.1:9', slots: 3, connections: 9, state, instance: 'i', startedAt,
+		},
+		stamp: {instance: 'i', startedAt, sequence},
+	};
+}
+
+/** Runs a process of one node against the store, which holds what earlier processes wrote. */
+async function withProcess(store: FakeRowStore, run: (handler: AnnouncementHandler, localUpstream: LocalUpstream) => Promise<void>): Promise<void> {
+	const controller = new AbortController();
+	const localUpstream = new LocalUpstream(new SystemClock(), log);
+	let isRestored = false;
+	const directory = new MemberDirectory({
+		store,
+		membership: new Membership(),
+		clock: new SystemClock(),
+		log,
+		self: {
+			id: 'n', incarnation: 0, dataCentre: 'a', region: 'r', host: '127.0.0.1', peerPort: 1, meshPort: 1, state: MemberState.ALIVE, service: '', upstreamState: UpstreamState.ABSENT, slots: 0, instance: 1,
+		},
+		onRestored(member, upstream) {
+			isRestored = true;
+			if (member && upstream) {
+				handler.restore(upstream, member.upstreamState);
+			}
+		},
+	});
+	const handler = new AnnouncementHandler(localUpstream, directory, log);
+	void handler.run();
+	const running = directory.run(controller.signal);
+	try {
+		await waitUntil(() => isRestored, 'restore');
+		await run(handler, localUpstream);
+	} finally {
+		controller.abort();
+		await running;
+		await localUpstream.close();
+	}
+}
+
+/** Waits until the store holds that the upstream is absent. */
+async function waitForAbsence(store: FakeRowStore): Promise<void> {
+	await waitUntil(() => {
+		const value = store.findValue('members', 'n');
+		return value !== undefined && (JSON.parse(value) as {service: string; upstreamState: UpstreamState}).service === 's' && (JSON.parse(value) as {upstreamState: UpstreamState}).upstreamState === UpstreamState.ABSENT;
+	}, 'write the absence');
+}
+
+describe('announcements to a node', () => {
+	it('do not make an upstream ready that left and then fell silent, after a restart of the node', async t => {
+		const store = new FakeRowStore();
+		await withProcess(store, async (handler, localUpstream) => {
+			await handler.handleAnnouncement(buildAnnouncement('ready', 1));
+			await handler.handleEnd('i', 1);
+			localUpstream.handleConnectionRefused();
+			await waitForAbsence(store);
+		});
+		await withProcess(store, async (handler, localUpstream) => {
+			await handler.handleAnnouncement(buildAnnouncement('ready', 2));
+			t.is(localUpstream.status.value.state, 'draining');
+			await handler.handleAnnouncement(buildAnnouncement('ready', 1, 2));
+			t.is(localUpstream.status.value.state, 'ready');
+		});
+	});
+
+	it('of before the last one are ignored after a restart of the node', async t => {
+		const store = new FakeRowStore();
+		await withProcess(store, async (handler, localUpstream) => {
+			await handler.handleAnnouncement(buildAnnouncement('ready', 5));
+			localUpstream.handleConnectionRefused();
+			await waitForAbsence(store);
+		});
+		await withProcess(store, async (handler, localUpstream) => {
+			await handler.handleAnnouncement(buildAnnouncement('ready', 4));
+			t.is(localUpstream.status.value.state, 'absent');
+			await handler.handleAnnouncement(buildAnnouncement('ready', 6));
+			t.is(localUpstream.status.value.state, 'ready');
+		});
+	});
+});
--- a/packages/upstreams/src/local-upstream.ts
+++ b/packages/upstreams/src/local-upstream.ts
@@ -90,11 +90,16 @@
 		return buildIncarnationKey(this.#announcement?.instance, this.#announcement?.startedAt);
 	}
 
+	/** Whether the upstream process leaves or has left. */
+	get hasLeft(): boolean {
+		return this.#left.has(this.incarnation);
+	}
+
 	/** What the upstream says of itself at present, for other nodes; undefined if it names no limit and does not leave. */
 	get notice(): CarriedNotice | undefined {
 		const {incarnation} = this;
 		const {rate} = this.#namedLimit;
-		const isLeaving = this.#left.has(incarnation);
+		const isLeaving = this.hasLeft;
 		return incarnation === '' || (rate === undefined && !isLeaving)
 			? undefined
 			: {
@@ -126,7 +131,12 @@
 			this.#addLeft(this.incarnation);
 		}
 
-		this.#setState(this.#left.has(this.incarnation) ? 'draining' : announcement.state);
+		this.#setState(this.hasLeft ? 'draining' : announcement.state);
+	}
+
+	/** Records that a process of the upstream has left, as an earlier process of this node knew. */
+	recordLeft(incarnation: string): void {
+		this.#addLeft(incarnation);
 	}
 
 	/** Records what a response of the upstream says of it. */
