Refuse responses in a transfer coding whose end can't be told from a cut

A response in a coding other than chunked (gzip, identity) that broke off reached the caller as a complete success: such a body ends with its connection, but only responses without any coding were taken for that.

broken-response_test.ts failed before in 4 of 24 cases: the codings gzip and identity, with the connection ended and reset. The others, which passed, cut responses in chunks and with a length at all points, and send bytes after a complete response, at once and on the idle connection.

--- a/packages/upstreams/src/forward.ts
+++ b/packages/upstreams/src/forward.ts
@@ -95,6 +95,12 @@
 	return copy;
 }
 
+/** Returns whether the last transfer coding is `chunked`; the end of a body in any other one is the end of its connection. */
+function isChunked(transferEncoding: string | string[] | undefined): boolean {
+	const codings = Array.isArray(transferEncoding) ? transferEncoding.join(',') : transferEncoding ?? '';
+	return codings.split(',').at(-1)!.trim().toLowerCase() === 'chunked';
+}
+
 /** Forwards one request. The promise is never rejected. */
 export async function forwardRequest(options: ForwardOptions): Promise<ForwardResult> {
 	return new Promise(resolve => {
@@ -355,7 +361,7 @@
 
 	#isCloseDelimited(status: number, headers: ResponseHeaders): boolean {
 		return headers['content-length'] === undefined
-			&& headers['transfer-encoding'] === undefined
+			&& !isChunked(headers['transfer-encoding'])
 			&& this.#options.method !== 'HEAD'
 			&& !bodilessStatuses.has(status);
 	}
