Keep every process running when a row or message holds what no code expects

One row of the table of members with a host or port that can't be used ended the process of every node that chose it: callers saw closed connections everywhere. The error of building its connection pool was thrown in a request handler, and no process handled unexpected errors.

Rows, and members that peers send, are checked field by field where they are decoded. An unexpected error in a call ends that call with an unknown outcome.

--- a/packages/callers/src/call.ts
+++ b/packages/callers/src/call.ts
@@ -94,6 +94,16 @@
 		});
 	}
 
+	/** Ends the call after an unexpected error, with an unknown outcome: an attempt may be in flight. */
+	fail(reason: string): void {
+		this.#cancellation.cancel(new Error(reason));
+		if (this.#response.writableEnded) {
+			return;
+		}
+
+		this.#refuse({status: statusBadGateway, outcome: outcomes.unknown, reason: `an unexpected error: ${reason}`});
+	}
+
 	/** Cancels the call; this node responds in place of an upstream. */
 	cancel(reason: Error): void {
 		this.#cancellation.cancel(reason);
--- a/packages/callers/src/callers.ts
+++ b/packages/callers/src/callers.ts
@@ -8,6 +8,7 @@
 import {type AddressInfo} from 'node:net';
 import {type Clock, type Random} from '@ebonylead/base/base.js';
 import {type DecisionLog} from '@ebonylead/base/decision-log.js';
+import {describeError} from '@ebonylead/base/errors.js';
 import {type Logger} from '@ebonylead/base/logs.js';
 import {type CallerLimits} from '@ebonylead/rules/rule-source.js';
 import {type ActiveVersion} from '@ebonylead/rules/active-version.js';
@@ -158,6 +159,9 @@
 		this.#calls.add(call);
 		try {
 			await call.run();
+		} catch (error) {
+			this.#dependencies.log.error({stack: (error as Error).stack}, 'A call failed unexpectedly');
+			call.fail(describeError(error));
 		} finally {
 			this.#calls.delete(call);
 		}
--- a/packages/callers/src/test/faulty-call_test.ts
+++ b/packages/callers/src/test/faulty-call_test.ts
@@ -209,4 +209,17 @@
 			});
 		});
 	});
+
+	describe('that fail by an error that no code expects', () => {
+		it('get a response with an unknown outcome, and the node goes on', async t => {
+			await withHarness(async harness => {
+				const vm = await harness.addVm(buildResponder('ok'));
+				const member = harness.membership.findMember(vm.id)!;
+				harness.membership.merge([{...member, host: 'no host', incarnation: member.incarnation + 1}], 0);
+				await expectResponse(t, call(harness, 'POST', '/x'), {status: 502, outcome: 'unknown'});
+				harness.membership.merge([{...member, incarnation: member.incarnation + 2}], 0);
+				await expectResponse(t, call(harness, 'POST', '/x'), {status: 200, body: 'ok'});
+			});
+		});
+	});
 });
--- a/packages/node/src/member-row.ts
+++ b/packages/node/src/member-row.ts
@@ -1,4 +1,5 @@
 /** Encoding of a member record as a row of a shared table. */
+import {isIP} from 'node:net';
 import {MemberState, UpstreamState, type Member} from '@ebonylead/peers/generated/peers.js';
 import {type SharedRow} from '@ebonylead/store/row-store.js';
 import {type AnnouncementStamp} from '@ebonylead/upstreams/announcement-order.js';
@@ -21,6 +22,11 @@
 	readonly era?: number;
 };
 
+const hostName = /^[a-z0-9](?:[a-z0-9.\-]*[a-z0-9])?$/iv;
+const maxPort = 65_535;
+const knownStates: ReadonlySet<unknown> = new Set([MemberState.ALIVE, MemberState.DEAD, MemberState.LEFT]);
+const knownUpstreamStates: ReadonlySet<unknown> = new Set([UpstreamState.ABSENT, UpstreamState.READY, UpstreamState.DRAINING]);
+
 /** Exclusive upper bound of the revisions of an era. At 1,200 writes per second, a store reaches it after 29 years. */
 const revisionLimit = 2 ** 40;
 
@@ -69,12 +75,24 @@
 	return mayLackLeave ? undefined : value?.upstream;
 }
 
+/** Returns whether the fields of a record have the types and ranges by which other nodes use it; another writer may have written it. */
+export function isMember(value: Partial<Omit<Member, 'id'>> | null): boolean {
+	return value !== null
+		&& typeof value.host === 'string' && (isIP(value.host) !== 0 || hostName.test(value.host))
+		&& typeof value.service === 'string' && typeof value.dataCentre === 'string' && typeof value.region === 'string'
+		&& isPort(value.meshPort)
+		&& Number.isSafeInteger(value.slots) && value.slots! >= 0
+		&& knownStates.has(value.state) && knownUpstreamStates.has(value.upstreamState);
+}
+
+function isPort(value: unknown): boolean {
+	return Number.isSafeInteger(value) && (value as number) >= 1 && (value as number) <= maxPort;
+}
+
 function decodeRow(text: string): MemberRow | undefined {
 	try {
 		const value = JSON.parse(text) as MemberRow;
-		const isRow = typeof value.host === 'string' && typeof value.service === 'string'
-			&& Number.isSafeInteger(value.meshPort) && Number.isSafeInteger(value.slots) && Number.isSafeInteger(value.era ?? 0);
-		return isRow ? value : undefined;
+		return isMember(value) && Number.isSafeInteger(value.era ?? 0) ? value : undefined;
 	} catch {
 		return undefined;
 	}
--- a/packages/node/src/peer-state.ts
+++ b/packages/node/src/peer-state.ts
@@ -10,6 +10,7 @@
 import {type Membership} from '@ebonylead/peers/membership.js';
 import {statePath} from '@ebonylead/upstreams/mesh-listener.js';
 import {Agent, type Dispatcher} from 'undici';
+import {isMember} from './member-row.js';
 import {type RulesUpdate} from './rules-history.js';
 
 /** Response of a node to a request for its state. */
@@ -26,9 +27,14 @@
 
 async function readState({headers, body}: Dispatcher.ResponseData): Promise<PeerState> {
 	const bytes = Buffer.from(await body.arrayBuffer());
-	return JSON.parse((headers['content-encoding'] === 'gzip' ? gunzipSync(bytes) : bytes).toString()) as PeerState;
+	const text = (headers['content-encoding'] === 'gzip' ? gunzipSync(bytes, {maxOutputLength: maxStateBytes}) : bytes).toString();
+	const {update, members} = JSON.parse(text) as PeerState;
+	return {update, members: members.filter(member => isMember(member) && typeof member.id === 'string' && Number.isSafeInteger(member.incarnation))};
 }
 
+/** Maximum size of a state in bytes, which bounds the memory that a faulty peer can take. */
+const maxStateBytes = 16 * 1024 * 1024;
+
 /** Dependencies of `PeerStateFetcher`. */
 export type PeerStateFetcherDependencies = {
 	readonly self: Member;
@@ -75,7 +81,7 @@
 export class PeerStateFetcher {
 	readonly #dependencies: PeerStateFetcherDependencies;
 	readonly #agent = new Agent({
-		connections: maxConnections, connect: {timeout: silenceTimeoutMs}, headersTimeout: silenceTimeoutMs, bodyTimeout: silenceTimeoutMs,
+		connections: maxConnections, connect: {timeout: silenceTimeoutMs}, headersTimeout: silenceTimeoutMs, bodyTimeout: silenceTimeoutMs, maxResponseSize: maxStateBytes,
 	});
 
 	#reportedVersion = 0;
--- a/packages/upstreams/src/mesh-listener.ts
+++ b/packages/upstreams/src/mesh-listener.ts
@@ -84,7 +84,10 @@
 		this.#dependencies = dependencies;
 		this.#attempts = new AttemptRegistry(dependencies.clock);
 		this.#server = createServer({keepAliveTimeout: keepAliveTimeoutMs, maxHeaderSize: maxHeaderBytes, requestTimeout: 0}, (request, response) => {
-			void this.#handleRequest(request, response);
+			this.#handleRequest(request, response).catch((error: unknown) => {
+				dependencies.log.error({stack: (error as Error).stack}, 'A request of another node failed unexpectedly');
+				response.destroy();
+			});
 		});
 	}
 
@@ -135,6 +138,10 @@
 		this.#inFlightCount++;
 		try {
 			await new MeshCall(this.#dependencies, this.#attempts, request, response).run();
+		} catch (error) {
+			this.#dependencies.log.error({stack: (error as Error).stack}, 'A call of another node failed unexpectedly');
+			// The entry node can't be told whether the call ran.
+			response.destroy();
 		} finally {
 			this.#inFlightCount--;
 		}
