Answer a call at its deadline when its body has not come whole

A caller that stopped in the middle of a small body got no answer at its deadline, nor later: reading the body waited for its end or for the end of the connection. It ends with the call's cancellation now, and the answer says truthfully that the call did not run.

--- a/packages/callers/src/call.ts
+++ b/packages/callers/src/call.ts
@@ -363,7 +363,7 @@
 
 	async #readBody(): Promise<RequestBody> {
 		try {
-			return await readBody(this.#request);
+			return await readBody(this.#request, this.#cancellation);
 		} catch (error) {
 			this.#cancellation.cancel(error as Error);
 			return undefined;
--- a/packages/upstreams/src/mesh-call.ts
+++ b/packages/upstreams/src/mesh-call.ts
@@ -323,7 +323,7 @@
 
 	async #readBody(): Promise<void> {
 		try {
-			this.#body = await readBody(this.#request);
+			this.#body = await readBody(this.#request, this.#cancellation);
 		} catch (error) {
 			this.#cancellation.cancel(error as Error);
 		}
--- a/packages/upstreams/src/request-body.ts
+++ b/packages/upstreams/src/request-body.ts
@@ -1,6 +1,7 @@
 /** Reads request bodies. */
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
+import {type Cancellation} from './cancellation.js';
 import {hasBody} from './request-headers.js';
 
 /** Bodies up to this size are buffered, so that they can be sent again in a retry and fingerprinted. */
@@ -13,9 +14,9 @@
  * Reads a small body into a buffer. For a large body it returns the request,
  * from which the whole body can still be streamed.
  *
- * @throws Error if the connection closes before the end of the body.
+ * @throws Error if the connection closes, or the call is cancelled, before the end of the body.
  */
-export async function readBody(request: IncomingMessage): Promise<RequestBody> {
+export async function readBody(request: IncomingMessage, cancellation: Cancellation): Promise<RequestBody> {
 	if (!hasBody(request)) {
 		return undefined;
 	}
@@ -27,17 +28,27 @@
 	return new Promise((resolve, reject) => {
 		const chunks: Buffer[] = [];
 		let size = 0;
+		const removeListeners = () => {
+			request.off('data', handleData).off('end', handleEnd).off('error', fail).off('close', handleClose);
+			cancellation.removeListener(fail);
+		};
+
 		const finish = (body: RequestBody) => {
-			request.off('data', handleData).off('end', handleEnd).off('error', reject).off('close', handleClose);
+			removeListeners();
 			resolve(body);
 		};
 
+		const fail = (reason: Error) => {
+			removeListeners();
+			reject(reason);
+		};
+
 		const handleEnd = () => {
 			finish(Buffer.concat(chunks));
 		};
 
 		const handleClose = () => {
-			reject(new Error('the connection closed before the end of the body'));
+			fail(new Error('the connection closed before the end of the body'));
 		};
 
 		const handleData = (chunk: Buffer) => {
@@ -51,6 +62,7 @@
 			}
 		};
 
-		request.on('data', handleData).on('end', handleEnd).on('error', reject).on('close', handleClose);
+		request.on('data', handleData).on('end', handleEnd).on('error', fail).on('close', handleClose);
+		cancellation.addListener(fail);
 	});
 }
