Bound what is read of messages that do not end

Nothing bounded the responses of the store, the state and the feed lines of other nodes, and interim responses of an upstream, which kept a core busy until the call's deadline.

--- a/packages/node/src/feed-follower.ts
+++ b/packages/node/src/feed-follower.ts
@@ -1,6 +1,6 @@
 /** Follows the feed of one other node. */
 import {type Clock} from '@ebonylead/base/base.js';
-import {describeError} from '@ebonylead/base/errors.js';
+import {StepError, describeError} from '@ebonylead/base/errors.js';
 import {type AcceptedRules} from '@ebonylead/rules/rule-source.js';
 import {type FeedTransport} from './feed-transport.js';
 import {type RowCache} from './row-cache.js';
@@ -26,6 +26,9 @@
 	readonly onEnd: (origin: string, reason: string) => void;
 };
 
+/** Maximum length of a line in characters, which bounds the memory that a faulty peer can take. */
+const maxLineLength = 16 * 1024 * 1024;
+
 /** Follows one feed at a time, so that transfers never overlap. */
 export class FeedFollower {
 	readonly #dependencies: FeedFollowerDependencies;
@@ -102,6 +105,7 @@
 	async #readLines(chunks: AsyncIterable<Uint8Array>, signal: AbortSignal): Promise<void> {
 		const decoder = new TextDecoder();
 		let parts: string[] = [];
+		let lineLength = 0;
 		for await (const chunk of chunks) {
 			if (signal.aborted) {
 				return;
@@ -110,9 +114,15 @@
 			this.#lastBytesAt = this.#dependencies.clock.now();
 			const [end, ...starts] = decoder.decode(chunk, {stream: true}).split('\n');
 			parts.push(end!);
+			lineLength += end!.length;
 			for (const start of starts) {
 				this.#handleLine(JSON.parse(parts.join('')) as FeedLine);
 				parts = [start];
+				lineLength = start.length;
+			}
+
+			if (lineLength > maxLineLength) {
+				throw new StepError('read feed', 'reader', `a line of more than ${maxLineLength} characters`);
 			}
 		}
 	}
--- a/packages/stand-ins/src/describe.ts
+++ b/packages/stand-ins/src/describe.ts
@@ -17,3 +17,8 @@
 export function it(title: string, run: (t: ExecutionContext) => void | Promise<void>): void {
 	test([...titles, title].join(' › '), run);
 }
+
+/** Defines a test in the enclosing blocks that runs while no other one of its file does, as it measures time or memory. */
+export function itSerially(title: string, run: (t: ExecutionContext) => void | Promise<void>): void {
+	test.serial([...titles, title].join(' › '), run);
+}
--- a/packages/upstreams/src/forward.ts
+++ b/packages/upstreams/src/forward.ts
@@ -73,6 +73,9 @@
 /** Lower statuses are those of interim responses. */
 const firstFinalStatus = 200;
 
+/** Maximum number of interim responses to one request; a sidecar of an earlier version sends ten a second. */
+const maxInterimResponses = 1000;
+
 /** Prefix of the headers that only nodes may set. */
 const meshHeaderPrefix = 'x-ebonylead-';
 
@@ -122,6 +125,7 @@
 	#isFinished = false;
 	#bufferedChunks: Buffer[] | undefined;
 	#bufferedBytes = 0;
+	#interimCount = 0;
 	#validation: ResponseValidation = {kind: 'final'};
 	#status = 0;
 	#headers: ResponseHeaders = {};
@@ -164,6 +168,11 @@
 	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: ResponseHeaders): void {
 		this.#restartSilenceTimer();
 		if (status < firstFinalStatus) {
+			this.#interimCount++;
+			if (this.#interimCount > maxInterimResponses) {
+				controller.abort(new Error(`more than ${maxInterimResponses} interim responses`));
+			}
+
 			return;
 		}
 
