Send no call whose caller left or whose deadline passed while the node was paused

A node that had been paused for some seconds handled the requests that had arrived meanwhile as new ones: 4 to 8 of 8 calls ran at the upstream after their callers had given up, those that must not run twice as well. The end of a connection is read one turn of the event loop after the request that arrived with it, and the call was sent by then.

--- a/packages/callers/src/call.ts
+++ b/packages/callers/src/call.ts
@@ -4,6 +4,7 @@
 import {type Route} from '@ebonylead/rules/route-table.js';
 import {type ActiveSnapshot} from '@ebonylead/rules/active-version.js';
 import {Cancellation} from '@ebonylead/upstreams/cancellation.js';
+import {isClientConnected} from '@ebonylead/upstreams/client-presence.js';
 import {copyRequestHeaders, type ResponseHeaders} from '@ebonylead/upstreams/forward.js';
 import {readBody, type RequestBody} from '@ebonylead/upstreams/request-body.js';
 import {readPositiveInteger} from '@ebonylead/upstreams/request-headers.js';
@@ -17,15 +18,7 @@
 import {callResults, type CallResult} from './call-metrics.js';
 import {type CallerListenerDependencies} from './callers.js';
 import {type RequestTarget} from './request-target.js';
-
-/** Maximum number of upstreams that may run one call, where its rule sets no `maxTries`. */
-const defaultMaxRuns = 3;
-
-/** Maximum number of attempts for one call, refused ones included: a refusal costs a node little. */
-const maxAttempts = 3;
-
-/** Minimum remaining time in milliseconds for a retry: two hops and the fastest responses take about that long. */
-const minAttemptTimeMs = 10;
+import {canRetry, isRetryableFailure} from './retry-limits.js';
 
 /** Number of crashed upstreams after which a call that was in flight there is not retried. */
 const maxCrashes = 2;
@@ -36,7 +29,6 @@
 const statusBadGateway = 502;
 const statusUnavailable = 503;
 const statusTimeout = 504;
-const retryableStatuses: ReadonlySet<number> = new Set([500, 502, 503, 504]);
 
 /** What follows an attempt: the call is done, may be retried, or ends with a refusal. A refusal waits for the other attempts in flight. */
 type NextStep = 'done' | 'retry' | Refusal;
@@ -159,6 +151,10 @@
 
 	async #runAttempts(route: Route): Promise<void> {
 		const body = await this.#readBody();
+		if (!await isClientConnected(this.#request)) {
+			this.#handleCallerClose();
+		}
+
 		if (this.#cancellation.isCancelled) {
 			this.#refuse({status: statusTimeout, outcome: outcomes.notRun, reason: 'the body did not come whole before the deadline'});
 			return;
@@ -185,12 +181,8 @@
 	}
 
 	/** Returns whether the call may be sent to another node, apart from the retry budget. */
-	#canRetry(route: Route, attemptCount: number): boolean {
-		if (this.#cancellation.isCancelled || this.#timeLeft < minAttemptTimeMs || attemptCount >= maxAttempts) {
-			return false;
-		}
-
-		return this.#counts.possibleRuns === 0 || (route.rule.idempotent && this.#counts.possibleRuns < (route.rule.maxTries ?? defaultMaxRuns));
+	#canRetry(route: Route, attempts: number): boolean {
+		return !this.#cancellation.isCancelled && canRetry(route, {attempts, possibleRuns: this.#counts.possibleRuns, timeLeft: this.#timeLeft});
 	}
 
 	/**
@@ -271,8 +263,7 @@
 			return false;
 		}
 
-		const isRetryPossible = this.#counts.possibleRuns + 1 < (route.rule.maxTries ?? defaultMaxRuns) && this.#timeLeft > minAttemptTimeMs;
-		return !(route.rule.idempotent && retryableStatuses.has(status) && isRetryPossible);
+		return !isRetryableFailure(route, status, {possibleRuns: this.#counts.possibleRuns, timeLeft: this.#timeLeft});
 	}
 
 	#handleResult(route: Route, attempt: Attempt, result: AttemptResult): NextStep {
--- a/packages/callers/src/test/silent-response_test.ts
+++ b/packages/callers/src/test/silent-response_test.ts
@@ -130,6 +130,7 @@
 				recordEnd: (_member: Member, isFailure: boolean | undefined) => {
 					this.isFailure = isFailure;
 				},
+				notices: {record: () => undefined},
 				findExclusion: () => undefined,
 				recordUnreachable: () => {
 					this.ejections++;
--- a/packages/upstreams/src/mesh-call.ts
+++ b/packages/upstreams/src/mesh-call.ts
@@ -4,6 +4,7 @@
 import {describeError} from '@ebonylead/base/errors.js';
 import {type AttemptRegistry, type RegisteredAttempt} from './attempt-registry.js';
 import {Cancellation} from './cancellation.js';
+import {isClientConnected} from './client-presence.js';
 import {type InFlightCall} from './crash-detector.js';
 import {computeFingerprint} from './fingerprint.js';
 import {
@@ -118,6 +119,10 @@
 		const deadline = this.#startedAt + this.#deadline;
 		const objective = readPositiveInteger(this.#request, meshHeaders.objective);
 		await this.#readBody();
+		if (!await isClientConnected(this.#request)) {
+			this.#cancellation.cancel(new Error('the entry node closed its connection before the call was admitted'));
+		}
+
 		const quarantineStatus = this.#readQuarantineStatus();
 		if (quarantineStatus === 'quarantined') {
 			this.#crashCount = this.#dependencies.quarantine.countCrashes(this.#computeFingerprint());
