Keep a stopping node from closing connections with unsent responses

A stopping node closed its connections 150 ms after the last response was handed to them. What a slow link or client had not taken by then, up to a buffer of 256 KB, was cut. It waits for these bytes now, within its stop timeout.

--- a/packages/callers/src/callers.ts
+++ b/packages/callers/src/callers.ts
@@ -13,6 +13,7 @@
 import {type CallerLimits} from '@ebonylead/rules/rule-source.js';
 import {type ActiveVersion} from '@ebonylead/rules/active-version.js';
 import {listenOn} from '@ebonylead/base/listening.js';
+import {OpenConnections} from '@ebonylead/upstreams/open-connections.js';
 import {outcomes, type Refusal} from '@ebonylead/upstreams/upstreams.js';
 import {type AttemptProber} from './attempt-prober.js';
 import {type CallAges} from './call-ages.js';
@@ -67,6 +68,7 @@
 export class CallerListener {
 	readonly #dependencies: CallerListenerDependencies;
 	readonly #server: Server;
+	readonly #openConnections: OpenConnections;
 	readonly #calls = new Set<Call>();
 	#inFlightCount = 0;
 	#limits: CallerLimits | undefined;
@@ -79,6 +81,7 @@
 		this.#server = createServer(options, (request, response) => {
 			void this.#handleRequest(request, response);
 		});
+		this.#openConnections = new OpenConnections(this.#server);
 	}
 
 	/** Port that the server listens on. */
@@ -86,6 +89,11 @@
 		return (this.#server.address() as AddressInfo).port;
 	}
 
+	/** Whether bytes of responses are still to be sent. */
+	get hasUnsentBytes(): boolean {
+		return this.#openConnections.hasUnsentBytes;
+	}
+
 	/** Number of calls in flight. */
 	get inFlightCount(): number {
 		return this.#inFlightCount;
--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -267,6 +267,11 @@
 		this.#callerListener.cancelCalls('this node stops');
 		await this.#clock.sleep(responseFlushMs);
 		await this.#readArrivedRequests();
+		const hasUnsentBytes = () => this.#callerListener.hasUnsentBytes || this.#meshListener.hasUnsentBytes;
+		while (hasUnsentBytes() && this.#clock.now() < deadline) {
+			await this.#clock.sleep(drainPollIntervalMs);
+		}
+
 		this.#log.info({cut, duration: Math.round(this.#clock.now() - startedAt)}, 'Stopped');
 		await this.close();
 		return cut;
--- a/packages/upstreams/src/mesh-listener.ts
+++ b/packages/upstreams/src/mesh-listener.ts
@@ -15,6 +15,7 @@
 import {AttemptRegistry} from './attempt-registry.js';
 import {type CrashDetector} from './crash-detector.js';
 import {MeshCall} from './mesh-call.js';
+import {OpenConnections} from './open-connections.js';
 import {type Quarantine} from './quarantine.js';
 import {type RefusalMetrics} from './refusal-metrics.js';
 import {readHeader, readNonNegativeInteger} from './request-headers.js';
@@ -77,6 +78,7 @@
 export class MeshListener {
 	readonly #dependencies: MeshListenerDependencies;
 	readonly #server: Server;
+	readonly #openConnections: OpenConnections;
 	readonly #attempts: AttemptRegistry;
 	#inFlightCount = 0;
 
@@ -89,6 +91,7 @@
 				response.destroy();
 			});
 		});
+		this.#openConnections = new OpenConnections(this.#server);
 	}
 
 	/** Port that the server listens on. */
@@ -96,6 +99,11 @@
 		return (this.#server.address() as AddressInfo).port;
 	}
 
+	/** Whether bytes of responses are still to be sent. */
+	get hasUnsentBytes(): boolean {
+		return this.#openConnections.hasUnsentBytes;
+	}
+
 	/** Number of calls in flight. */
 	get inFlightCount(): number {
 		return this.#inFlightCount;
