--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -26,6 +26,7 @@
 import {Quarantine} from '@ebonylead/upstreams/quarantine.js';
 import {RefusalMetrics} from '@ebonylead/upstreams/refusal-metrics.js';
 import {LocalUpstream} from '@ebonylead/upstreams/local-upstream.js';
+import {registerUpstreamMetrics} from '@ebonylead/upstreams/upstream-metrics.js';
 import {type UpstreamProtocol} from '@ebonylead/upstreams/upstream-protocol.js';
 import {type Registry} from 'prom-client';
 import {MemberDirectory} from './member-directory.js';
@@ -157,6 +158,7 @@
 			},
 		});
 		this.announcementHandler = new AnnouncementHandler(this.#localUpstream, this.#directory, this.#createLog('upstream'));
+		registerUpstreamMetrics(registry, this.#localUpstream);
 		const quarantine = new Quarantine(clock);
 		const crashDetector = new CrashDetector(this.#localUpstream, quarantine, this.#createLog('mesh'), () => undefined);
 		this.#meshListener = new MeshListener({
--- a/packages/node/src/node-metrics.ts
+++ b/packages/node/src/node-metrics.ts
@@ -3,6 +3,7 @@
 import {type GrpcTransport} from '@ebonylead/peers/grpc-transport.js';
 import {type ActiveVersion} from '@ebonylead/rules/active-version.js';
 import {type LocalUpstream} from '@ebonylead/upstreams/local-upstream.js';
+import {registerUpstreamMetrics} from '@ebonylead/upstreams/upstream-metrics.js';
 import {collectDefaultMetrics, Gauge, type Registry} from 'prom-client';
 import {type HeadWatcher} from './head-watcher.js';
 
@@ -30,8 +31,7 @@
 	registerGauge(registry, 'ebonylead_store_up', '1 where the platform answered this node last time.', () => Number(watcher.health === 'up'));
 	registerGauge(registry, 'ebonylead_control_bytes', 'Bytes of control messages carried since the start.', () => transport.counts.bytes);
 	registerGauge(registry, 'ebonylead_control_messages', 'Control messages carried since the start.', () => transport.counts.messages);
-	registerGauge(registry, 'ebonylead_upstream_running', 'Calls that run on the upstream beside the node.', () => localUpstream.admission.running);
-	registerGauge(registry, 'ebonylead_upstream_waiting', 'Calls that wait for the upstream beside the node.', () => localUpstream.admission.waiting);
+	registerUpstreamMetrics(registry, localUpstream);
 }
 
 function registerGauge(registry: Registry, name: string, help: string, read: () => number): void {
