Let the upstreams of a soak name limits and leave by their responses

Their events come from a random source of their own, so that the other events of a seed stay as they were. The ledger counts the requests that processes sent which had passed a limit or a leave on.

--- a/packages/bench/src/soak-ledger.ts
+++ b/packages/bench/src/soak-ledger.ts
@@ -35,6 +35,20 @@
 	knownAt: number;
 };
 
+/** The limit that an upstream names, and the requests that it got from processes that had passed it on. */
+type LimitRecord = {
+	readonly rate: number;
+	readonly toldAt: Map<string, number>;
+	arrivals: number[];
+};
+
+/** Length of the windows in which the requests of a limit are counted, and the requests in a window besides those that it allows. */
+const limitWindowMs = 4000;
+const limitSlack = 5;
+
+/** Time after a process passed a limit or a leave on from which it binds the process. */
+const noticeMs = 500;
+
 /** Time after a fault of a process for which it excuses requests that end. */
 const faultExcuseMs = 3000;
 
@@ -67,6 +81,10 @@
 	readonly #faults: Disturbance[] = [];
 	readonly #storeFaults: Disturbance[] = [];
 	readonly #leftUpstreams = new Map<string, number>();
+	readonly #limits = new Map<string, LimitRecord>();
+
+	/** Times at which processes passed on that an upstream leaves, by upstream and process. */
+	readonly #leavesTold = new Map<string, number>();
 	readonly #versions = new Map<string, VersionEvidence>();
 	readonly #writtenAt = new Map<number, number>();
 
@@ -80,6 +98,55 @@
 		this.#requests.set(request.id, {...request, sentAt: this.#now(), runCount: 0});
 	}
 
+	/** Records that an upstream begins to name a limit in requests per second, or with `undefined` that it names none any more. */
+	recordLimit(upstream: string, rate: number | undefined): void {
+		if (rate === undefined) {
+			this.#limits.delete(upstream);
+		} else {
+			this.#limits.set(upstream, {rate, toldAt: new Map(), arrivals: []});
+		}
+	}
+
+	/** Records that a process passed a response on in which an upstream names a limit. */
+	recordLimitTold(upstream: string, process: string): void {
+		const limit = this.#limits.get(upstream);
+		if (limit && !limit.toldAt.has(process)) {
+			limit.toldAt.set(process, this.#now());
+		}
+	}
+
+	/** Records that a process passed a response on in which an upstream says that it leaves. */
+	recordLeaveTold(upstream: string, process: string): void {
+		const key = `${upstream} ${process}`;
+		this.#leavesTold.set(key, this.#leavesTold.get(key) ?? this.#now());
+	}
+
+	/** Records that a request reached an upstream, which may refuse it. */
+	recordArrival(id: string, upstream: string): void {
+		const request = this.#requests.get(id);
+		if (request === undefined) {
+			return;
+		}
+
+		const now = this.#now();
+		const leaveToldAt = this.#leavesTold.get(`${upstream} ${request.process}`);
+		if (leaveToldAt !== undefined && request.sentAt > leaveToldAt + noticeMs) {
+			this.recordViolation('leaves', `${id} reaches ${upstream} ${Math.round(now - leaveToldAt)} ms after ${request.process} passed on that it leaves`);
+		}
+
+		const limit = this.#limits.get(upstream);
+		const toldAt = limit?.toldAt.get(request.process);
+		if (limit === undefined || toldAt === undefined || request.sentAt < toldAt + noticeMs) {
+			return;
+		}
+
+		limit.arrivals = [...limit.arrivals.filter(arrival => now - arrival < limitWindowMs), now];
+		const allowed = (limit.rate * limitWindowMs / 1000) + limitSlack;
+		if (limit.arrivals.length > allowed) {
+			this.recordViolation('limits', `${upstream} gets ${limit.arrivals.length} requests in ${limitWindowMs} ms; ${allowed} are allowed`);
+		}
+	}
+
 	/** Records that an upstream began to run a request. */
 	recordRun(id: string, upstream: string): void {
 		const request = this.#requests.get(id);
--- a/packages/bench/src/soak-plan.ts
+++ b/packages/bench/src/soak-plan.ts
@@ -5,6 +5,9 @@
 /** Work that operators plan. It must not end a request that is in progress. */
 const plannedKinds = ['restart', 'reload', 'configuration', 'storm', 'replacement'] as const;
 
+/** What upstreams ask for in their responses. It must not end a request either. */
+const upstreamKinds = ['limit', 'leave-by-response'] as const;
+
 /** Faults of processes. They may end requests. */
 const processFaults = ['kill', 'pause'] as const;
 
@@ -14,7 +17,7 @@
 ] as const;
 
 /** Kind of a disturbance. */
-export type SoakEventKind = typeof plannedKinds[number] | typeof processFaults[number] | typeof storeFaults[number];
+export type SoakEventKind = typeof plannedKinds[number] | typeof upstreamKinds[number] | typeof processFaults[number] | typeof storeFaults[number];
 
 /** A disturbance. */
 export type SoakEvent = {
@@ -55,6 +58,15 @@
 const minFaultMs = 200;
 const maxFaultMs = 3000;
 
+/** Bounds of the time between two events of upstreams, and of the duration of a limit: longer than the window in which requests are counted. */
+const minUpstreamGapMs = 1000;
+const maxUpstreamGapMs = 6000;
+const minLimitMs = 5000;
+const maxLimitMs = 9000;
+
+/** Offset of the seed from which the events of upstreams are drawn, so that they don't change the other events of a seed. */
+const upstreamSeedOffset = 1_000_003;
+
 /** Share of the kinds of faults that a seed draws. */
 const faultShare = 0.4;
 
@@ -62,19 +74,47 @@
 const plannedShare = 0.7;
 
 /** Plans the events of a soak, in the order of their times. */
-export function buildSoakPlan({seed, duration, vmCount, hasFaults}: SoakPlanOptions): SoakEvent[] {
+export function buildSoakPlan(options: SoakPlanOptions): SoakEvent[] {
+	return [...buildDisturbances(options), ...buildUpstreamEvents(options)].toSorted((left, right) => left.at - right.at);
+}
+
+function createRandom(seed: number): SeededRandom {
 	const random = new SeededRandom(seed);
 	for (let index = 0; index < skippedValues; index++) {
 		random.next();
 	}
 
+	return random;
+}
+
+/** Plans what upstreams ask for. */
+function buildUpstreamEvents({seed, duration, vmCount}: SoakPlanOptions): SoakEvent[] {
+	const random = createRandom(seed + upstreamSeedOffset);
+	const events: SoakEvent[] = [];
+	let at = 0;
+	for (;;) {
+		at += chooseBetween(random, minUpstreamGapMs, maxUpstreamGapMs);
+		if (at > duration - quietEndMs) {
+			return events;
+		}
+
+		events.push({
+			at, kind: chooseOne<SoakEventKind>(random, upstreamKinds), vm: chooseInteger(random, vmCount), duration: chooseBetween(random, minLimitMs, maxLimitMs),
+		});
+	}
+}
+
+/** Plans planned work and faults. */
+function buildDisturbances({seed, duration, vmCount, hasFaults}: SoakPlanOptions): SoakEvent[] {
+	const random = createRandom(seed);
+
 	const faults = [...processFaults, ...storeFaults].filter(() => random.next() < faultShare);
 	const events: SoakEvent[] = [];
 	let at = 0;
 	for (;;) {
 		at += chooseBetween(random, minEpisodeGapMs, maxEpisodeGapMs);
 		if (at > duration - quietEndMs) {
-			return events.toSorted((left, right) => left.at - right.at);
+			return events;
 		}
 
 		const isFault = hasFaults && faults.length > 0 && random.next() > plannedShare;
@@ -88,9 +128,9 @@
 	return (processFaults as readonly string[]).includes(kind);
 }
 
-/** Returns whether a disturbance is planned work. */
+/** Returns whether a disturbance excuses nothing: planned work, and what upstreams ask for. */
 export function isPlanned(kind: SoakEventKind): boolean {
-	return (plannedKinds as readonly string[]).includes(kind);
+	return ([...plannedKinds, ...upstreamKinds] as readonly string[]).includes(kind);
 }
 
 /** Plans one event, or a series of restarts in the order of the VMs, in which the same VM may come twice. */
--- a/packages/bench/src/test/soak-ledger_test.ts
+++ b/packages/bench/src/test/soak-ledger_test.ts
@@ -35,7 +35,35 @@
 		t.deepEqual(ledger.violations, []);
 	});
 
+	it('counts no request of a process that was not told of a limit or a leave', t => {
+		const {ledger, send, advance} = createFixture();
+		ledger.recordLimit('u', 1);
+		ledger.recordLeaveTold('u', 'other');
+		for (let index = 0; index < 20; index++) {
+			send(`a${index}`);
+			ledger.recordArrival(`a${index}`, 'u');
+			advance(100);
+		}
+
+		t.deepEqual(ledger.violations, []);
+	});
+
 	const breaches: Record<string, (fixture: Fixture) => void> = {
+		'more requests than a limit allows'({ledger, send, advance}) {
+			ledger.recordLimit('u', 1);
+			ledger.recordLimitTold('u', 'p');
+			advance(600);
+			for (let index = 0; index < 10; index++) {
+				send(`a${index}`);
+				ledger.recordArrival(`a${index}`, 'u');
+			}
+		},
+		'a request after a leave was passed on'({ledger, send, advance}) {
+			ledger.recordLeaveTold('u', 'p');
+			advance(600);
+			send('a');
+			ledger.recordArrival('a', 'u');
+		},
 		'a second run'({ledger, send}) {
 			send('a');
 			ledger.recordRun('a', 'u');
