--- a/packages/bench/src/load-file.ts
+++ b/packages/bench/src/load-file.ts
@@ -34,6 +34,10 @@
 		return `service ${JSON.stringify(service.name)} needs a name and a list "speeds" of numbers above 0`;
 	}
 
+	if (service.limits !== undefined && !(isList(service.limits) && service.limits.every(limit => limit === null || limit >= 0))) {
+		return `service "${service.name}" needs a list "limits" of numbers of 0 or more, or null`;
+	}
+
 	return validateNumbers(`service "${service.name}"`, service, serviceFields);
 }
 
--- a/packages/bench/src/play.ts
+++ b/packages/bench/src/play.ts
@@ -4,7 +4,7 @@
  */
 import {readFileSync, writeFileSync} from 'node:fs';
 import process from 'node:process';
-import {LoadEmulator, type CallClassResult} from '@ebonylead/stand-ins/load-emulator.js';
+import {LoadEmulator, type CallClassResult, type LimitUsage} from '@ebonylead/stand-ins/load-emulator.js';
 import {defineCommand, runMain} from 'citty';
 import {parseLoad} from './load-file.js';
 import {formatTable} from './table.js';
@@ -28,6 +28,11 @@
 	return formatTable([['class', 'asked', 'in time', 'late', 'refused', 'refused late', 'refused again', 'failed', 'runs', 'wasted'], ...rows]);
 }
 
+function renderLimits(usages: readonly LimitUsage[]): string {
+	const rows = usages.map(({upstream, allowed, worst, runs}) => [upstream, allowed.toFixed(1), String(worst), String(runs)]);
+	return formatTable([['upstream with a limit', 'allowed in 4 s', 'worst 4 s', 'runs'], ...rows]);
+}
+
 function renderBar(result: Readonly<CallClassResult>, top: number): string {
 	let x = barLeft;
 	return Object.entries(colours).map(([outcome, colour]) => {
@@ -58,6 +63,7 @@
 	args: {
 		load: {type: 'positional', description: 'Load file (JSON)', required: true},
 		seed: {type: 'string', description: 'Seed of the random arrivals and work', default: '1'},
+		'ignore-limits': {type: 'boolean', description: 'Ignores the limits that upstreams name, for comparison', default: false},
 		svg: {type: 'string', description: 'SVG file to write a plot to'},
 	},
 	async run({args}) {
@@ -68,8 +74,14 @@
 			return;
 		}
 
-		const results = await new LoadEmulator(load.unsafeCoerce(), Number(args.seed)).run();
+		const emulator = new LoadEmulator({...load.unsafeCoerce(), areLimitsIgnored: args['ignore-limits']}, Number(args.seed));
+		const results = await emulator.run();
 		process.stdout.write(`${renderTable(results)}\n`);
+		const usages = emulator.listLimitUsages();
+		if (usages.length > 0) {
+			process.stdout.write(`${renderLimits(usages)}\n`);
+		}
+
 		if (args.svg !== undefined) {
 			writeFileSync(args.svg, renderPlot(results));
 		}
--- a/packages/stand-ins/src/load-emulator.ts
+++ b/packages/stand-ins/src/load-emulator.ts
@@ -21,6 +21,9 @@
 
 	/** Speed of each upstream. A run takes the work of its call divided by the speed, besides the time of the calls that it makes. */
 	readonly speeds: readonly number[];
+
+	/** Requests per second that the upstreams name as their limits from `limitsFrom` on; `null` for none. */
+	readonly limits?: ReadonlyArray<number | null>;
 };
 
 /** A class of calls to one service. */
@@ -58,6 +61,12 @@
 	/** Milliseconds during which callers start calls. */
 	readonly duration: number;
 
+	/** Milliseconds after which upstreams name their limits. */
+	readonly limitsFrom?: number;
+
+	/** Whether nodes ignore the limits, for comparison. */
+	readonly areLimitsIgnored?: boolean;
+
 	/** Whether each VM is an entry node that knows only the calls that it sent itself; otherwise one entry node sends all calls. */
 	readonly isEntryAtEachVm?: boolean;
 };
@@ -92,6 +101,20 @@
 	runs: number;
 };
 
+/** What an upstream with a limit got. */
+export type LimitUsage = {
+	readonly upstream: string;
+
+	/** Requests that its limit allows in four seconds. */
+	readonly allowed: number;
+
+	/** Requests in the worst four seconds, from the time on at which its first response named the limit. */
+	readonly worst: number;
+
+	/** Runs in all. */
+	readonly runs: number;
+};
+
 type Outcome = {
 	readonly kind: 'served' | 'failed' | 'refused';
 
@@ -107,6 +130,11 @@
 	readonly chooser: TargetChooser;
 	readonly admission: AdmissionControl;
 	readonly speed: number;
+
+	/** Limit of the upstream in requests per second. */
+	readonly limit: number | undefined;
+	readonly arrivals: number[];
+	limitNamedAt: number;
 };
 
 /** One-way latency between two nodes, as between data centres at the users' sites. */
@@ -127,6 +155,10 @@
 /** Time after the last start of a call, for the calls in flight to end. */
 const drainTimeMs = 20_000;
 
+/** Length of the windows in which the requests of an upstream with a limit are counted. */
+const limitWindowMs = 4000;
+const millisecondsPerSecond = 1000;
+
 /** Emulates one load with one seed. */
 export class LoadEmulator {
 	readonly #load: EmulatedLoad;
@@ -172,15 +204,32 @@
 		return this.#results;
 	}
 
+	/** Lists what each upstream with a limit got. */
+	listLimitUsages(): LimitUsage[] {
+		return [...this.#vmsById].flatMap(([upstream, {limit, arrivals, limitNamedAt}]) => {
+			if (limit === undefined) {
+				return [];
+			}
+
+			const counted = arrivals.filter(arrival => arrival >= limitNamedAt);
+			const worst = Math.max(0, ...counted.map(start => counted.filter(arrival => arrival >= start && arrival < start + limitWindowMs).length));
+			return [{
+				upstream, allowed: limit * limitWindowMs / millisecondsPerSecond, worst, runs: arrivals.length,
+			}];
+		});
+	}
+
 	#createChooser(): TargetChooser {
 		return new TargetChooser(this.#membership, 'a', this.#clock, this.#random);
 	}
 
-	#addService({name, slots, speeds}: EmulatedService, sharedChooser: TargetChooser | undefined): void {
+	#addService({name, slots, speeds, limits = []}: EmulatedService, sharedChooser: TargetChooser | undefined): void {
 		const clock: Clock = this.#clock;
 		for (const [index, speed] of speeds.entries()) {
 			const id = `${name}-${index}`;
-			const vm = {chooser: sharedChooser ?? this.#createChooser(), admission: new AdmissionControl(clock, slots), speed};
+			const vm: Vm = {
+				chooser: sharedChooser ?? this.#createChooser(), admission: new AdmissionControl(clock, slots), speed, limit: limits[index] ?? undefined, arrivals: [], limitNamedAt: Number.POSITIVE_INFINITY,
+			};
 			this.#vms.push(vm);
 			this.#vmsById.set(id, vm);
 			this.#membership.merge([{
@@ -270,11 +319,25 @@
 		});
 	}
 
+	/** Tells the node of a VM the limit of its upstream, as the response to a call does. */
+	#nameLimit(vm: Vm): void {
+		const now = this.#clock.now();
+		if (vm.limit === undefined || now < (this.#load.limitsFrom ?? 0)) {
+			return;
+		}
+
+		vm.limitNamedAt = Math.min(vm.limitNamedAt, now);
+		if (!this.#load.areLimitsIgnored && vm.admission.rateLimit === undefined) {
+			vm.admission.setRateLimit(vm.limit);
+		}
+	}
+
 	/** Runs an admitted call: half of its work, its calls to other services, and the other half. */
 	async #runCall(vm: Vm, callClass: CallClass, deadline: number): Promise<Outcome> {
 		const result = this.#results.get(callClass.name)!;
 		const work = callClass.work * (1 - workSpread + (this.#random.next() * 2 * workSpread)) / vm.speed;
 		result.runs++;
+		vm.arrivals.push(this.#clock.now());
 		await this.#clock.sleep(work / 2);
 		for (const name of callClass.calls) {
 			const nestedClass = this.#load.classes.find(found => found.name === name)!;
@@ -287,6 +350,7 @@
 		}
 
 		await this.#clock.sleep(work / 2);
+		this.#nameLimit(vm);
 		return {kind: this.#clock.now() <= deadline ? 'served' : 'failed', waited: 0};
 	}
 }
--- a/packages/stand-ins/src/test/load-emulator_test.ts
+++ b/packages/stand-ins/src/test/load-emulator_test.ts
@@ -65,4 +65,44 @@
 			t.true(share('urgent') > share('confirm') - 0.05, `share served: ${share('urgent')} of the urgent class, ${share('confirm')} of the other`);
 		});
 	}
+
+	describe('with upstreams that name limits', () => {
+		const limitedLoad: EmulatedLoad = {
+			duration: 12_000,
+			isEntryAtEachVm: true,
+			limitsFrom: 2000,
+			services: [{
+				name: 's', slots: 6, speeds: [1, 1, 1, 1], limits: [0, 4, 9, null],
+			}],
+			classes: [
+				{
+					name: 'urgent', service: 's', rank: 0, rate: 20, work: 100, objective: 400, deadline: 1500, returns: 1, calls: [],
+				},
+				{
+					name: 'other', service: 's', rank: 2, rate: 90, work: 100, objective: 400, deadline: 1500, returns: 1, calls: [],
+				},
+			],
+		};
+		const slack = 5;
+
+		it('sends each no more than it allows, and serves the urgent class first', async t => {
+			for (const seed of [1, 2, 3]) {
+				const emulator = new LoadEmulator(limitedLoad, seed);
+				const results = await emulator.run();
+				for (const {upstream, allowed, worst} of emulator.listLimitUsages()) {
+					t.true(worst <= allowed + slack, `${upstream} got ${worst} of ${allowed}`);
+				}
+
+				const share = (name: string) => (results.get(name)!.inTime + results.get(name)!.late) / results.get(name)!.started;
+				t.true(share('urgent') >= share('other'));
+				t.true(share('urgent') > 0.95);
+			}
+		});
+
+		it('shows what they get if nodes ignore the limits', async t => {
+			const emulator = new LoadEmulator({...limitedLoad, areLimitsIgnored: true}, 1);
+			await emulator.run();
+			t.true(emulator.listLimitUsages().every(({allowed, worst}) => worst > (allowed * 1.5) + slack));
+		});
+	});
 });
