--- a/packages/stand-ins/src/request-fuzz-case.ts
+++ b/packages/stand-ins/src/request-fuzz-case.ts
@@ -3,6 +3,7 @@
 import {text as readText} from 'node:stream/consumers';
 import {chooseInteger} from '@ebonylead/base/base.js';
 import {SeededRandom} from '@ebonylead/base/random.js';
+import {meshHeaders} from '@ebonylead/upstreams/upstreams.js';
 import {request} from 'undici';
 import {MeshHarness} from './mesh-harness.js';
 
@@ -16,7 +17,10 @@
 const maxResponseDelayMs = 200;
 
 /** How an upstream may handle a request. One entry is chosen at random for each, so that repeated values are more likely. */
-const behaviours = ['good', 'good', 'good', 'good', 'slow', 'die', 'half', 'half-chunked', 'hang', 'shed'] as const;
+const behaviours = ['good', 'good', 'good', 'good', 'slow', 'die', 'half', 'half-chunked', 'hang', 'shed', 'limited'] as const;
+
+/** Limits that an upstream may name, some of them unreadable. */
+const limits = ['0', '3.5', '20', '1e3', '-1', 'NaN', '', 'many'] as const;
 
 type CallRecord = {
 	readonly id: string;
@@ -97,6 +101,12 @@
 				break;
 			}
 
+			case 'limited': {
+				response.setHeader(meshHeaders.rateLimit, limits[chooseInteger(this.#random, limits.length)]!);
+				response.end(responseBody);
+				break;
+			}
+
 			case 'die': {
 				incoming.socket.destroy();
 				break;
