Refuse calls that miss their objective while their upstream has a limit

A call that is expected to miss its objective waits for slots that would be idle; a limit under load leaves no request idle, so it waited until its deadline.

While there is a limit, such a call is refused at once, and a queued one as soon as it is expected late.

--- a/packages/node/src/peer-state.ts
+++ b/packages/node/src/peer-state.ts
@@ -13,6 +13,9 @@
 import {isMember} from './member-row.js';
 import {type RulesUpdate} from './rules-history.js';
 
+/** Maximum size of a state in bytes, which bounds the memory that a faulty peer can take. */
+const maxStateBytes = 16 * 1024 * 1024;
+
 /** Response of a node to a request for its state. */
 export type PeerState = {
 	/** Update to the active version; undefined if the requesting node has the same version or a later one. */
@@ -32,9 +35,6 @@
 	return {update, members: members.filter(member => isMember(member) && typeof member.id === 'string' && Number.isSafeInteger(member.incarnation))};
 }
 
-/** Maximum size of a state in bytes, which bounds the memory that a faulty peer can take. */
-const maxStateBytes = 16 * 1024 * 1024;
-
 /** Dependencies of `PeerStateFetcher`. */
 export type PeerStateFetcherDependencies = {
 	readonly self: Member;
--- a/packages/upstreams/src/admission.ts
+++ b/packages/upstreams/src/admission.ts
@@ -203,13 +203,18 @@
 		}
 
 		const isBestEffort = expectedEnd > request.objective && !isShort;
-		if (isBestEffort && this.#queue.bestEffortCount >= this.#slots * maxBestEffortPerSlot) {
+		if (isBestEffort && this.#queue.bestEffortCount >= this.#maxBestEffort) {
 			return this.#buildRefusal(request, isLimited ? refusalCauses.rateLimit : refusalCauses.objective);
 		}
 
 		return this.#waitForSlot(request, priority, isBestEffort);
 	}
 
+	/** Number of queued calls that may be expected to miss their objective; none where a limit leaves no request idle for them. */
+	get #maxBestEffort(): number {
+		return this.#rateLimit.rate === undefined ? this.#slots * maxBestEffortPerSlot : 0;
+	}
+
 	#canStart(request: AdmissionRequest): boolean {
 		if (this.#running.hasExclusive || (request.isExclusive && this.#running.count > 0)) {
 			return false;
@@ -267,6 +272,7 @@
 			await this.#clock.sleep(sweepIntervalMs);
 			this.#refuseNearDeadline();
 			if (this.#rateLimit.rate !== undefined) {
+				this.#refuseLate();
 				this.#startQueued();
 			}
 		}
@@ -288,6 +294,16 @@
 		}
 	}
 
+	/** Refuses queued calls that miss their objective: while there is a limit, those in time take all of its requests. */
+	#refuseLate(): void {
+		const late = this.#queue.listAll().filter(queued => queued.priority !== shortCallPriority && this.#isExpectedLate(queued));
+		for (const queued of late) {
+			this.#queue.remove(queued);
+		}
+
+		this.#refuseAll(late, refusalCauses.rateLimit);
+	}
+
 	/** Refuses queued calls that won't end before their deadlines, even if no call of a higher priority arrives. */
 	#refuseHopeless(): void {
 		const hopeless = this.#estimator.listHopeless(this.#slots, this.#queue.listInOrder(call => this.#isExpectedLate(call)));
--- a/packages/upstreams/src/mesh-call.ts
+++ b/packages/upstreams/src/mesh-call.ts
@@ -13,10 +13,10 @@
 import {type MeshListenerDependencies} from './mesh-listener.js';
 import {quarantineDurationMs, type QuarantineStatus} from './quarantine.js';
 import {sendRefusal} from './refusals.js';
-import {type ResponseValidation} from './upstream-protocol.js';
 import {readBody, type RequestBody} from './request-body.js';
-import {decodeNotice, encodeNotice} from './upstream-notice.js';
 import {readPositiveInteger, readHeader, readNonNegativeInteger} from './request-headers.js';
+import {decodeNotice, encodeNotice} from './upstream-notice.js';
+import {type ResponseValidation} from './upstream-protocol.js';
 import {
 	defaultPriority, meshHeaders, outcomes, refusalCauses, type SidecarRefusal,
 } from './upstreams.js';
--- a/packages/upstreams/src/test/admission-rate-limit_test.ts
+++ b/packages/upstreams/src/test/admission-rate-limit_test.ts
@@ -92,4 +92,23 @@
 		await waitForImmediate();
 		t.true(waiting.every(({result}) => result?.kind === 'admitted'));
 	});
+
+	it('refuses at once a call that would miss its objective, as no request of the limit is left idle for it', async t => {
+		const clock = new FakeClock();
+		const control = await createLimited(clock, 2);
+		submit(control, buildRequest({objective: clock.now() + 800}));
+		const late = await control.admit(buildRequest({objective: clock.now() + 800}));
+		t.is(late.kind === 'refused' && late.refusal.cause, 'rate-limit');
+	});
+
+	it('refuses a queued call when more urgent ones have taken its requests, long before its deadline', async t => {
+		const clock = new FakeClock();
+		const control = await createLimited(clock, 2);
+		const low = submit(control, buildRequest({priority: 2, objective: clock.now() + 800, deadline: clock.now() + 8000}));
+		const high = Array.from({length: 3}, () => submit(control, buildRequest({priority: 0, objective: clock.now() + 4000, deadline: clock.now() + 8000})));
+		await clock.advance(900);
+		t.is(low.result?.kind === 'refused' && low.result.refusal.cause, 'rate-limit');
+		await clock.advance(1000);
+		t.true(high.every(({result}) => result?.kind === 'admitted'));
+	});
 });
