Accept rows of members without a data centre or a region

A row that lacks these fields was read before the check of its fields was added, and nothing breaks without them; spreading_test.ts writes such rows, and failed.

--- a/packages/node/src/member-row.ts
+++ b/packages/node/src/member-row.ts
@@ -79,12 +79,16 @@
 export function isMember(value: Partial<Omit<Member, 'id'>> | null): boolean {
 	return value !== null
 		&& typeof value.host === 'string' && (isIP(value.host) !== 0 || hostName.test(value.host))
-		&& typeof value.service === 'string' && typeof value.dataCentre === 'string' && typeof value.region === 'string'
+		&& typeof value.service === 'string' && isTextOrAbsent(value.dataCentre) && isTextOrAbsent(value.region)
 		&& isPort(value.meshPort)
 		&& Number.isSafeInteger(value.slots) && value.slots! >= 0
 		&& knownStates.has(value.state) && knownUpstreamStates.has(value.upstreamState);
 }
 
+function isTextOrAbsent(value: unknown): boolean {
+	return value === undefined || typeof value === 'string';
+}
+
 function isPort(value: unknown): boolean {
 	return Number.isSafeInteger(value) && (value as number) >= 1 && (value as number) <= maxPort;
 }
