--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -91,6 +91,9 @@
 
 /** Time for sending the responses of cancelled calls before the connections are cut. */
 const responseFlushMs = 150;
+
+/** Maximum time for the bytes of these responses to leave this process; an open feed to a slow node must not hold up the stop. */
+const maxFlushMs = 1000;
 const drainPollIntervalMs = 20;
 
 /** Number of readers in each data centre: one reads the rules from the store for the others, one stands by. */
@@ -270,7 +273,8 @@
 		await this.#clock.sleep(responseFlushMs);
 		await this.#readArrivedRequests();
 		const hasUnsentBytes = () => this.#callerListener.hasUnsentBytes || this.#meshListener.hasUnsentBytes;
-		while (hasUnsentBytes() && this.#clock.now() < deadline) {
+		const flushEnd = Math.min(deadline, this.#clock.now() + maxFlushMs);
+		while (hasUnsentBytes() && this.#clock.now() < flushEnd) {
 			await this.#clock.sleep(drainPollIntervalMs);
 		}
 
