--- a/packages/callers/src/call.ts
+++ b/packages/callers/src/call.ts
@@ -87,7 +87,7 @@
 	}
 
 	/** Ends the call after an unexpected error, with an unknown outcome: an attempt may be in flight. */
-	fail(reason: string): void {
+	handleError(reason: string): void {
 		this.#cancellation.cancel(new Error(reason));
 		if (this.#response.writableEnded) {
 			return;
--- a/packages/callers/src/callers.ts
+++ b/packages/callers/src/callers.ts
@@ -169,7 +169,7 @@
 			await call.run();
 		} catch (error) {
 			this.#dependencies.log.error({stack: (error as Error).stack}, 'A call failed unexpectedly');
-			call.fail(describeError(error));
+			call.handleError(describeError(error));
 		} finally {
 			this.#calls.delete(call);
 		}
--- a/packages/node/src/test/announcement-handler_test.ts
+++ b/packages/node/src/test/announcement-handler_test.ts
@@ -31,7 +31,18 @@
 		clock: new SystemClock(),
 		log,
 		self: {
-			id: 'n', incarnation: 0, dataCentre: 'a', region: 'r', host: '127.0.0.1', peerPort: 1, meshPort: 1, state: MemberState.ALIVE, service: '', upstreamState: UpstreamState.ABSENT, slots: 0, instance: 1,
+			id: 'n',
+			incarnation: 0,
+			dataCentre: 'a',
+			region: 'r',
+			host: '127.0.0.1',
+			peerPort: 1,
+			meshPort: 1,
+			state: MemberState.ALIVE,
+			service: '',
+			upstreamState: UpstreamState.ABSENT,
+			slots: 0,
+			instance: 1,
 		},
 		onRestored(member, upstream) {
 			isRestored = true;
@@ -56,8 +67,8 @@
 /** Waits until the store holds that the upstream is absent. */
 async function waitForAbsence(store: FakeRowStore): Promise<void> {
 	await waitUntil(() => {
-		const value = store.findValue('members', 'n');
-		return value !== undefined && (JSON.parse(value) as {service: string; upstreamState: UpstreamState}).service === 's' && (JSON.parse(value) as {upstreamState: UpstreamState}).upstreamState === UpstreamState.ABSENT;
+		const row = JSON.parse(store.findValue('members', 'n') ?? '{}') as {service?: string; upstreamState?: UpstreamState};
+		return row.service === 's' && row.upstreamState === UpstreamState.ABSENT;
 	}, 'write the absence');
 }
 
--- a/packages/stand-ins/src/load-emulator.ts
+++ b/packages/stand-ins/src/load-emulator.ts
@@ -319,8 +319,8 @@
 		});
 	}
 
-	/** Tells the node of a VM the limit of its upstream, as the response to a call does. */
-	#nameLimit(vm: Vm): void {
+	/** Sends the node of a VM the limit of its upstream, as the response to a call does. */
+	#sendLimit(vm: Vm): void {
 		const now = this.#clock.now();
 		if (vm.limit === undefined || now < (this.#load.limitsFrom ?? 0)) {
 			return;
@@ -350,7 +350,7 @@
 		}
 
 		await this.#clock.sleep(work / 2);
-		this.#nameLimit(vm);
+		this.#sendLimit(vm);
 		return {kind: this.#clock.now() <= deadline ? 'served' : 'failed', waited: 0};
 	}
 }
