--- a/packages/node/src/test/announcement-handler_test.ts
+++ b/packages/node/src/test/announcement-handler_test.ts
@@ -20,8 +20,12 @@
 	};
 }
 
-/** Runs a process of one node against the store, which holds what earlier processes wrote. */
-async function withProcess(store: FakeRowStore, run: (handler: AnnouncementHandler, localUpstream: LocalUpstream) => Promise<void>): Promise<void> {
+/** Runs a process of one node against the store, which holds what earlier processes wrote; `runBefore` is called before the process has read it. */
+async function withProcess(
+	store: FakeRowStore,
+	run: (handler: AnnouncementHandler, localUpstream: LocalUpstream) => Promise<void>,
+	runBefore: (handler: AnnouncementHandler) => Promise<void> = async () => undefined,
+): Promise<void> {
 	const controller = new AbortController();
 	const localUpstream = new LocalUpstream(new SystemClock(), log);
 	let isRestored = false;
@@ -55,6 +59,7 @@
 	void handler.run();
 	const running = directory.run(controller.signal);
 	try {
+		await runBefore(handler);
 		await waitUntil(() => isRestored, 'restore');
 		await run(handler, localUpstream);
 	} finally {
@@ -103,4 +108,19 @@
 			t.is(localUpstream.status.value.state, 'ready');
 		});
 	});
+
+	it('do not make an upstream ready whose end arrived, without its start time, before the row of the node was read', async t => {
+		const store = new FakeRowStore();
+		await withProcess(store, async handler => {
+			await handler.handleAnnouncement(buildAnnouncement('ready', 1));
+			await waitUntil(() => store.findValue('members', 'n')?.includes('"upstreamState":1') ?? false, 'write the upstream');
+		});
+		store.isDown = true;
+		await withProcess(store, async (_handler, localUpstream) => {
+			t.not(localUpstream.status.value.state, 'ready');
+		}, async handler => {
+			await handler.handleEnd('i', undefined);
+			store.isDown = false;
+		});
+	});
 });
