Use one term for the tokens of a limit, and one copy of registerGauge

Only names and comments change: a rate limit has tokens, requests use them; registerGauge of the node's metrics was a copy of the one of the upstream's metrics. Callers see no difference.

--- a/packages/callers/src/target-chooser.ts
+++ b/packages/callers/src/target-chooser.ts
@@ -82,7 +82,7 @@
 const minFullMs = 10;
 const maxFullMs = 40;
 
-/** Maximum time in milliseconds for which an upstream counts as full that has no request of its limit left: up to the one that the refused call could have got. */
+/** Maximum time in milliseconds for which an upstream counts as full that has no token of its limit left: until the one that the refused call could have got. */
 const maxLimitedMs = 1000;
 
 /** The state of an upstream without attempts in flight is dropped this long after its last reported load, its last ejection and its start. */
--- a/packages/node/src/node-metrics.ts
+++ b/packages/node/src/node-metrics.ts
@@ -3,8 +3,8 @@
 import {type GrpcTransport} from '@ebonylead/peers/grpc-transport.js';
 import {type ActiveVersion} from '@ebonylead/rules/active-version.js';
 import {type LocalUpstream} from '@ebonylead/upstreams/local-upstream.js';
-import {registerUpstreamMetrics} from '@ebonylead/upstreams/upstream-metrics.js';
-import {collectDefaultMetrics, Gauge, type Registry} from 'prom-client';
+import {registerGauge, registerUpstreamMetrics} from '@ebonylead/upstreams/upstream-metrics.js';
+import {collectDefaultMetrics, type Registry} from 'prom-client';
 import {type HeadWatcher} from './head-watcher.js';
 
 /** Sampling interval of the event loop delay in milliseconds. The default of 10 uses 0.5 % of a core per node. */
@@ -33,14 +33,3 @@
 	registerGauge(registry, 'ebonylead_control_messages', 'Control messages carried since the start.', () => transport.counts.messages);
 	registerUpstreamMetrics(registry, localUpstream);
 }
-
-function registerGauge(registry: Registry, name: string, help: string, read: () => number): void {
-	const gauge = new Gauge({
-		name,
-		help,
-		registers: [registry],
-		collect() {
-			gauge.set(read());
-		},
-	});
-}
--- a/packages/stand-ins/src/load-emulator.ts
+++ b/packages/stand-ins/src/load-emulator.ts
@@ -228,7 +228,12 @@
 		for (const [index, speed] of speeds.entries()) {
 			const id = `${name}-${index}`;
 			const vm: Vm = {
-				chooser: sharedChooser ?? this.#createChooser(), admission: new AdmissionControl(clock, slots), speed, limit: limits[index] ?? undefined, arrivals: [], limitNamedAt: Number.POSITIVE_INFINITY,
+				chooser: sharedChooser ?? this.#createChooser(),
+				admission: new AdmissionControl(clock, slots),
+				speed,
+				limit: limits[index] ?? undefined,
+				arrivals: [],
+				limitNamedAt: Number.POSITIVE_INFINITY,
 			};
 			this.#vms.push(vm);
 			this.#vmsById.set(id, vm);
--- a/packages/upstreams/src/admission.ts
+++ b/packages/upstreams/src/admission.ts
@@ -71,8 +71,8 @@
 /** Minimum retry-after time of a refusal. */
 const minRetryAfterMs = 50;
 
-/** Minimum number of slots that the capacity of an upstream with a limit is compared to, so that its load stays finite. */
-const minWorth = 0.1;
+/** Minimum number of slots that an upstream with a limit counts as, so that its load stays finite. */
+const minEffectiveSlots = 0.1;
 const millisecondsPerSecond = 1000;
 
 /**
@@ -86,8 +86,8 @@
  * is full, the oldest call of the caller with the most queued calls of the
  * lowest priority is refused.
  *
- * Where the upstream names a limit, a call needs a request of that limit as well
- * as a slot.
+ * Where the upstream names a limit, a call needs a token of that limit as well as
+ * a slot.
  */
 export class AdmissionControl {
 	readonly #clock: Clock;
@@ -113,7 +113,7 @@
 
 	/**
 	 * Running and queued calls per slot; `closedLoad` while all calls are refused, so that entry nodes choose other candidates at once.
-	 * An upstream with a limit counts as many slots as its limit keeps busy, and one that has no request left as busier by that.
+	 * An upstream with a limit counts as many slots as its limit keeps busy, and one that has no token left as busier by that.
 	 */
 	get load(): number {
 		if (this.#isClosed) {
@@ -130,8 +130,8 @@
 			return count / this.#slots;
 		}
 
-		const missingRequests = this.#rateLimit.computeWait() * rate / millisecondsPerSecond;
-		return (count + missingRequests) / this.#computeWorth(rate);
+		const missingTokens = this.#rateLimit.computeWait() * rate / millisecondsPerSecond;
+		return (count + missingTokens) / this.#computeEffectiveSlots(rate);
 	}
 
 	/** Requests per second that the upstream takes; undefined if it names no limit. */
@@ -210,7 +210,7 @@
 		return this.#waitForSlot(request, priority, isBestEffort);
 	}
 
-	/** Number of queued calls that may be expected to miss their objective; none where a limit leaves no request idle for them. */
+	/** Number of queued calls that may be expected to miss their objective; none where a limit leaves no token idle for them. */
 	get #maxBestEffort(): number {
 		return this.#rateLimit.rate === undefined ? this.#slots * maxBestEffortPerSlot : 0;
 	}
@@ -294,7 +294,7 @@
 		}
 	}
 
-	/** Refuses queued calls that miss their objective: while there is a limit, those in time take all of its requests. */
+	/** Refuses queued calls that miss their objective: while there is a limit, those in time take all of its tokens. */
 	#refuseLate(): void {
 		const late = this.#queue.listAll().filter(queued => queued.priority !== shortCallPriority && this.#isExpectedLate(queued));
 		for (const queued of late) {
@@ -374,9 +374,9 @@
 	}
 
 	/** Computes the number of slots that an upstream with a limit keeps busy. */
-	#computeWorth(rate: number): number {
+	#computeEffectiveSlots(rate: number): number {
 		const busySlots = this.#serviceTimes.hasSamples ? rate * this.#serviceTimes.mean / millisecondsPerSecond : this.#slots;
-		return Math.max(minWorth, Math.min(this.#slots, busySlots));
+		return Math.max(minEffectiveSlots, Math.min(this.#slots, busySlots));
 	}
 
 	#buildRefusal(request: AdmissionRequest, cause: AdmissionRefusalCause): Admission {
--- a/packages/upstreams/src/upstream-metrics.ts
+++ b/packages/upstreams/src/upstream-metrics.ts
@@ -11,7 +11,8 @@
 	registerGauge(registry, 'ebonylead_upstream_leaving', '1 where the upstream beside the node leaves or has left.', () => Number(localUpstream.hasLeft));
 }
 
-function registerGauge(registry: Registry, name: string, help: string, read: () => number): void {
+/** Registers a gauge that reads its value when it is collected. */
+export function registerGauge(registry: Registry, name: string, help: string, read: () => number): void {
 	const gauge = new Gauge({
 		name,
 		help,
--- a/packages/upstreams/src/wait-estimator.ts
+++ b/packages/upstreams/src/wait-estimator.ts
@@ -1,4 +1,4 @@
-/** Estimates how long calls wait for a slot of an upstream and for a request of its limit. */
+/** Estimates how long calls wait for a slot of an upstream and for a token of its limit. */
 import {type Clock} from '@ebonylead/base/base.js';
 import {type AdmissionRequest} from './admission.js';
 import {type AdmissionQueue, type QueuedCall} from './admission-queue.js';
@@ -28,12 +28,12 @@
 		this.#inputs = inputs;
 	}
 
-	/** Estimates the time in milliseconds until a new call gets a slot and a request of the limit. */
+	/** Estimates the time in milliseconds until a new call gets a slot and a token of the limit. */
 	estimateWait(request: AdmissionRequest, priority: number, slots: number): number {
 		return Math.max(this.#estimateSlotWait(request, priority, slots), this.#estimateRateWait(request, priority));
 	}
 
-	/** Whether a new call waits for a request of the limit at least as long as for a slot. */
+	/** Whether a new call waits for a token of the limit at least as long as for a slot. */
 	isWaitForRate(request: AdmissionRequest, priority: number, slots: number): boolean {
 		const wait = this.#estimateRateWait(request, priority);
 		return wait > 0 && wait >= this.#estimateSlotWait(request, priority, slots);
