--- a/packages/stand-ins/src/delay-relay.ts
+++ b/packages/stand-ins/src/delay-relay.ts
@@ -31,6 +31,9 @@
 export class DelayRelay {
 	/** Whether new connections are reset. */
 	isRefusing = false;
+
+	/** Delay in milliseconds, besides the usual one, of what clients send from now on. What targets send is not affected. */
+	extraDelayToTarget = 0;
 	readonly #options: DelayRelayOptions;
 	readonly #servers: Server[] = [];
 	readonly #connections = new Set<RelayedConnection>();
@@ -55,7 +58,10 @@
 					return;
 				}
 
-				const connection = new RelayedConnection(socket, connect({host: targetHost, port, noDelay: true}), delay);
+				const connection = new RelayedConnection(socket, connect({host: targetHost, port, noDelay: true}), {
+					getDelayToTarget: () => delay + this.extraDelayToTarget,
+					getDelayToClient: () => delay,
+				});
 				this.#connections.add(connection);
 				if (this.#isPaused) {
 					connection.pause();
@@ -114,19 +120,25 @@
 	}
 }
 
+/** Returns the delays of a connection in milliseconds by direction. */
+type RelayDelays = {
+	readonly getDelayToTarget: () => number;
+	readonly getDelayToClient: () => number;
+};
+
 /** A relayed connection: the socket of its client, and the socket to its target. */
 class RelayedConnection {
 	blackholed: RelayDirection | undefined;
 	readonly #clientSocket: Socket;
 	readonly #targetSocket: Socket;
-	readonly #delay: number;
+	readonly #delays: RelayDelays;
 	#handleClose: (() => void) | undefined;
 	#heldBack: Array<() => void> | undefined;
 
-	constructor(clientSocket: Socket, targetSocket: Socket, delay: number) {
+	constructor(clientSocket: Socket, targetSocket: Socket, delays: RelayDelays) {
 		this.#clientSocket = clientSocket;
 		this.#targetSocket = targetSocket;
-		this.#delay = delay;
+		this.#delays = delays;
 		this.#forward(clientSocket, targetSocket);
 		this.#forward(targetSocket, clientSocket);
 	}
@@ -189,7 +201,7 @@
 			} else if (!this.#isBlackholed(to)) {
 				callback();
 			}
-		}, this.#delay);
+		}, to === this.#targetSocket ? this.#delays.getDelayToTarget() : this.#delays.getDelayToClient());
 	}
 
 	#isBlackholed(to: Socket): boolean {
--- a/packages/stand-ins/src/mesh-harness.ts
+++ b/packages/stand-ins/src/mesh-harness.ts
@@ -112,10 +112,15 @@
 		await this.#entryNode.listen(host, 0);
 	}
 
-	/** Applies new rules as the next version. */
-	setRules(rules: readonly string[]): void {
+	/**
+	 * Applies new rules as the next version.
+	 *
+	 * @param maxTries Maximum number of upstreams that may run one call; rule files have no option for it.
+	 */
+	setRules(rules: readonly string[], maxTries?: number): void {
 		this.#version++;
-		this.activeVersion.apply(encodeSnapshot({version: this.#version, rules: parseRuleFile('f', rules.join('\n')).unsafeCoerce().rules}));
+		const parsed = parseRuleFile('f', rules.join('\n')).unsafeCoerce().rules;
+		this.activeVersion.apply(encodeSnapshot({version: this.#version, rules: parsed.map(rule => ({...rule, maxTries}))}));
 	}
 
 	/** Adds a VM, whose upstream is ready, to the members. */
