Count each attempt of a call as a possible run from its start

Callers saw a request run on three upstreams although its route allows two.

Cause: an attempt counted only from its end, or from the suspicion that its sidecar is out of reach. When a suspected attempt lost its connection while another one was in flight, the count stood at one, and a third attempt was sent.

Now an attempt counts from its start, and only a report that it did not run and never will takes it back, so that at any moment the attempts that an upstream may still get are within the limit.

--- a/packages/callers/src/attempt-counts.ts
+++ b/packages/callers/src/attempt-counts.ts
@@ -9,21 +9,23 @@
 	readonly hasReachedUpstream: boolean;
 };
 
-/** Counts for one call. An attempt whose sidecar is out of reach counts as a possible run until its end shows otherwise. */
+/**
+ * Counts for one call. Each attempt counts as a possible run from its start:
+ * only the evidence at its end that it did not run, and never will, takes it back.
+ */
 export class AttemptCounts {
-	#possibleRuns = 0;
-	#reachedUpstreams = 0;
+	readonly #possibleRuns = new Set<string>();
+	readonly #reachedUpstreams = new Set<string>();
 	#mayHaveRun = false;
-	readonly #suspected = new Set<string>();
 
-	/** Number of upstreams that may have run the call. */
+	/** Number of upstreams that may have run the call, or may still get it. */
 	get possibleRuns(): number {
-		return this.#possibleRuns;
+		return this.#possibleRuns.size;
 	}
 
 	/** Number of upstreams that received the call, including those that refused it. */
 	get reachedUpstreams(): number {
-		return this.#reachedUpstreams;
+		return this.#reachedUpstreams.size;
 	}
 
 	/** Whether an attempt that ended may have run. */
@@ -31,22 +33,25 @@
 		return this.#mayHaveRun;
 	}
 
-	/** Records that the sidecar of an attempt in flight is out of reach. */
+	/** Records that an attempt is about to be sent. */
+	recordStart(id: string): void {
+		this.#possibleRuns.add(id);
+	}
+
+	/** Records that the sidecar of an attempt in flight is out of reach, so that its upstream is taken to have received the call. */
 	recordSuspicion(id: string): void {
-		this.#suspected.add(id);
-		this.#possibleRuns++;
-		this.#reachedUpstreams++;
+		this.#reachedUpstreams.add(id);
 	}
 
 	/** Records the end of an attempt. */
 	recordEnd(id: string, {mayHaveRun, hasReachedUpstream}: AttemptEffect): void {
 		this.#mayHaveRun ||= mayHaveRun;
-		if (this.#suspected.delete(id)) {
-			this.#possibleRuns -= mayHaveRun ? 0 : 1;
-			return;
+		if (!mayHaveRun) {
+			this.#possibleRuns.delete(id);
 		}
 
-		this.#possibleRuns += mayHaveRun ? 1 : 0;
-		this.#reachedUpstreams += mayHaveRun || hasReachedUpstream ? 1 : 0;
+		if (mayHaveRun || hasReachedUpstream) {
+			this.#reachedUpstreams.add(id);
+		}
 	}
 }
--- a/packages/callers/src/call.ts
+++ b/packages/callers/src/call.ts
@@ -219,6 +219,7 @@
 
 		this.#attemptedIds.add(member.id);
 		const id = requestIds.create();
+		this.#counts.recordStart(id);
 		const attempt = new Attempt(this.#dependencies, {
 			id,
 			member,
--- a/packages/callers/src/retry-limits.ts
+++ b/packages/callers/src/retry-limits.ts
@@ -6,7 +6,7 @@
 	/** Attempts so far, refused ones included. */
 	readonly attempts: number;
 
-	/** Attempts that may have run. */
+	/** Attempts that may have run, or that are in flight. */
 	readonly possibleRuns: number;
 
 	/** Milliseconds left until the deadline. */
@@ -33,7 +33,7 @@
 	return possibleRuns === 0 || (rule.idempotent && possibleRuns < (rule.maxTries ?? defaultMaxRuns));
 }
 
-/** Returns whether a failure of an upstream is held back from the caller, as another upstream may run the call. */
+/** Returns whether a failure of an upstream is held back from the caller, as another upstream may run the call. The attempt that failed is one of the possible runs. */
 export function isRetryableFailure({rule}: Route, status: number, {possibleRuns, timeLeft}: Omit<CallProgress, 'attempts'>): boolean {
-	return rule.idempotent && retryableStatuses.has(status) && possibleRuns + 1 < (rule.maxTries ?? defaultMaxRuns) && timeLeft > minAttemptTimeMs;
+	return rule.idempotent && retryableStatuses.has(status) && possibleRuns < (rule.maxTries ?? defaultMaxRuns) && timeLeft > minAttemptTimeMs;
 }
