Charge calls the time that they spend between two nodes

Callers saw requests reach upstreams up to 0.9 s after their deadline, after they had left.

Cause: the deadline travels as a duration that counts anew from where it is read. Time on a link, in a socket buffer or in a process that is held up was charged to nobody, and a node that is held up itself does not close its connection either, by which the sidecar would know that the caller has left.

Each attempt carries a stamp of its entry node's monotonic clock. The offset between two clocks is not known, but the least one seen belongs to an attempt without delay, so what another attempt is above it was spent on its way. A sidecar refuses a call as not run whose time is used up; it looks at the deadline in the turn that sends the call, and for the caller again after a wait for a slot. An entry node looks for its caller before each retry. A clock that stood still gets another identity, and so does one that a sidecar has misread, which the entry node sees as the reported time is longer than the attempt took.

--- a/packages/callers/src/attempt-headers.ts
+++ b/packages/callers/src/attempt-headers.ts
@@ -19,6 +19,9 @@
 	/** What this node knows of the upstream from its responses, encoded; undefined if that is nothing. */
 	readonly notice: string | undefined;
 
+	/** Stamp of the time at which the attempt is sent. */
+	readonly sent: string;
+
 	/** Remaining time of the deadline in milliseconds. */
 	readonly timeLeft: number;
 
@@ -39,6 +42,7 @@
 	headers[meshHeaders.route] = key;
 	headers[meshHeaders.attemptId] = values.id;
 	headers[meshHeaders.deadline] = formatDuration(values.timeLeft);
+	headers[meshHeaders.sent] = values.sent;
 	if (values.objectiveLeft !== undefined) {
 		headers[meshHeaders.objective] = formatDuration(values.objectiveLeft);
 	}
--- a/packages/callers/src/attempt.ts
+++ b/packages/callers/src/attempt.ts
@@ -185,6 +185,15 @@
 		});
 	}
 
+	/** A sidecar can't have waited for an attempt for longer than the attempt took: if it reports so, it has misread the clock of this node. */
+	#checkTransit(headers: ResponseHeaders, age: number): void {
+		const transit = Number(headers[meshHeaders.transit] ?? 0);
+		if (transit > age + timerToleranceMs) {
+			this.#recordDecision({transit}, 'Renewed the clock of this node, as a sidecar has misread it');
+			this.#dependencies.sendClock.renew();
+		}
+	}
+
 	readonly #handleCallCancel = (reason: Error) => {
 		this.#cancellation.cancel(reason);
 	};
@@ -272,6 +281,7 @@
 		}
 
 		if ('headers' in result) {
+			this.#checkTransit(result.headers, age);
 			pools.recordResponse(this.origin);
 			onVersion?.(Number(result.headers[meshHeaders.version] ?? 0), this.origin);
 		}
--- a/packages/callers/src/call.ts
+++ b/packages/callers/src/call.ts
@@ -15,7 +15,8 @@
 import {AttemptCounts, type AttemptEffect} from './attempt-counts.js';
 import {AttemptsInFlight} from './attempts-in-flight.js';
 import {setAttemptHeaders} from './attempt-headers.js';
-import {callResults, type CallResult} from './call-metrics.js';
+import {callResults} from './call-metrics.js';
+import {CallRecord} from './call-record.js';
 import {type CallerListenerDependencies} from './callers.js';
 import {type RequestTarget} from './request-target.js';
 import {canRetry, isRetryableFailure} from './retry-limits.js';
@@ -25,7 +26,6 @@
 
 const statusBadRequest = 400;
 const statusNotFound = 404;
-const firstServerError = 500;
 const statusBadGateway = 502;
 const statusUnavailable = 503;
 const statusTimeout = 504;
@@ -56,12 +56,7 @@
 	/** Estimated time in milliseconds from the caller's first attempt at this call to its arrival here. */
 	#age = 0;
 	#service = '';
-	#result: CallResult = callResults.notRun;
-
-	/** One line for each attempt, for the log. */
-	readonly #attemptSummaries: string[] = [];
-	#status = 0;
-	#reason = '';
+	readonly #record = new CallRecord();
 
 	/** Number of upstreams that crashed while this call was in flight there. */
 	#crashes = 0;
@@ -121,7 +116,7 @@
 			await this.#runAttempts(route);
 		} finally {
 			clearTimeout(timer);
-			this.#dependencies.metrics.recordCall(this.#service, this.#result, this.#dependencies.clock.now() - this.#startedAt);
+			this.#dependencies.metrics.recordCall(this.#service, this.#record.result, this.#dependencies.clock.now() - this.#startedAt);
 			this.#recordBurn(route);
 			this.#recordUnsuccessfulCall(route);
 		}
@@ -130,31 +125,20 @@
 	/** Logs the call unless it ended with an upstream's response with a status below 500. */
 	#recordUnsuccessfulCall(route: Route | undefined): void {
 		const {decisionLog, protocol, clock} = this.#dependencies;
-		if (this.#result === callResults.answered && this.#response.statusCode < firstServerError) {
-			return;
-		}
-
-		decisionLog.record({
+		this.#record.log(decisionLog, {
 			id: protocol.readRequestId(this.#request),
 			route: route?.key,
-			age: Math.round(this.#age),
+			age: this.#age,
 			version: this.#version,
 			service: this.#service,
-			result: this.#result,
-			status: this.#status === 0 ? this.#response.statusCode : this.#status,
-			reason: this.#reason,
-			asked: this.#attemptSummaries,
-			deadline: Math.round(this.#deadline),
-			duration: Math.round(clock.now() - this.#startedAt),
-		}, 'Ended a call');
+			deadline: this.#deadline,
+			duration: clock.now() - this.#startedAt,
+		}, this.#response.statusCode);
 	}
 
 	async #runAttempts(route: Route): Promise<void> {
 		const body = await this.#readBody();
-		if (!await isClientConnected(this.#request)) {
-			this.#handleCallerClose();
-		}
-
+		await this.#checkCaller();
 		if (this.#cancellation.isCancelled) {
 			this.#refuse({status: statusTimeout, outcome: outcomes.notRun, reason: 'the body did not come whole before the deadline'});
 			return;
@@ -169,6 +153,11 @@
 		let step = this.#startAttempt(route, body, inheritedAttempt) ?? await this.#waitForStep(route);
 		while (step !== 'done') {
 			if (step === 'retry' && body !== this.#request && this.#canRetry(route, attemptCount)) {
+				await this.#checkCaller();
+				if (this.#cancellation.isCancelled) {
+					continue;
+				}
+
 				attemptCount++;
 				step = this.#startAttempt(route, body, inheritedAttempt + attemptCount - 1, () => this.#admitRetry(inheritedAttempt)) ?? await this.#waitForStep(route);
 			} else if (this.#inFlight.isEmpty) {
@@ -180,6 +169,17 @@
 		}
 	}
 
+	/** Cancels the call if its caller has left or its deadline has passed. Called before each attempt, as this process may have been held up since it read the request. */
+	async #checkCaller(): Promise<void> {
+		if (!await isClientConnected(this.#request)) {
+			this.#handleCallerClose();
+		}
+
+		if (this.#timeLeft <= 0) {
+			this.#cancellation.cancel(new Error('the deadline passed'));
+		}
+	}
+
 	/** Returns whether the call may be sent to another node, apart from the retry budget. */
 	#canRetry(route: Route, attempts: number): boolean {
 		return !this.#cancellation.isCancelled && canRetry(route, {attempts, possibleRuns: this.#counts.possibleRuns, timeLeft: this.#timeLeft});
@@ -247,7 +247,7 @@
 			return this.#handleSuspicion(route, attempt);
 		}
 
-		this.#attemptSummaries.push(attempt.describe(result));
+		this.#record.addAttempt(attempt.describe(result));
 		return this.#handleResult(route, attempt, result);
 	}
 
@@ -271,12 +271,12 @@
 		const {member} = attempt;
 		switch (result.kind) {
 			case 'answered': {
-				this.#result = callResults.answered;
+				this.#record.result = callResults.answered;
 				return 'done';
 			}
 
 			case 'cut': {
-				this.#result = callResults.cut;
+				this.#record.result = callResults.cut;
 				this.#dependencies.log.warn(`Response from "${member.id}" was cut off: ${describeError(result.error)}`);
 				return 'done';
 			}
@@ -345,6 +345,7 @@
 			service: this.#service,
 			notice: this.#dependencies.chooser.notices.encode(memberId),
 			crashes: this.#crashes,
+			sent: this.#dependencies.sendClock.createStamp(),
 			timeLeft: this.#timeLeft,
 			objectiveLeft: rule.objective === undefined ? undefined : rule.objective - elapsedMs,
 			origin: this.#dependencies.origin,
@@ -364,9 +365,8 @@
 
 	/** Counts the call for the error budget of its route, unless the caller left: that shows nothing about the service. */
 	#recordBurn(route: Route): void {
-		if (this.#result !== callResults.callerLeft) {
-			const isGood = this.#result === callResults.answered && this.#response.statusCode < firstServerError;
-			this.#dependencies.burnCounters.record(route.key, isGood);
+		if (this.#record.result !== callResults.callerLeft) {
+			this.#dependencies.burnCounters.record(route.key, this.#record.isSuccess(this.#response.statusCode));
 		}
 	}
 
@@ -380,19 +380,19 @@
 	 */
 	#refuse(refusal: Refusal): void {
 		const outcome = this.#counts.mayHaveRun ? outcomes.unknown : refusal.outcome;
-		this.#result = outcome === outcomes.notRun ? callResults.notRun : callResults.unknown;
+		this.#record.result = outcome === outcomes.notRun ? callResults.notRun : callResults.unknown;
 		const retryAfter = refusal.retryAfter && refusal.retryAfter * (1 + this.#dependencies.random.next());
-		this.#status = outcome === outcomes.unknown && refusal.status === statusUnavailable ? statusBadGateway : refusal.status;
-		this.#reason = refusal.reason;
+		this.#record.status = outcome === outcomes.unknown && refusal.status === statusUnavailable ? statusBadGateway : refusal.status;
+		this.#record.reason = refusal.reason;
 		this.#dependencies.protocol.sendRefusal(this.#response, {
-			...refusal, status: this.#status, outcome, retryAfter,
+			...refusal, status: this.#record.status, outcome, retryAfter,
 		});
 		this.#request.resume();
 	}
 
 	readonly #handleCallerClose = () => {
 		if (!this.#response.writableFinished) {
-			this.#result = callResults.callerLeft;
+			this.#record.result = callResults.callerLeft;
 			this.#cancellation.cancel(new Error('the caller closed its connection'));
 		}
 	};
--- a/packages/callers/src/callers.ts
+++ b/packages/callers/src/callers.ts
@@ -14,6 +14,7 @@
 import {type ActiveVersion} from '@ebonylead/rules/active-version.js';
 import {listenOn} from '@ebonylead/base/listening.js';
 import {OpenConnections} from '@ebonylead/upstreams/open-connections.js';
+import {type SendClock} from '@ebonylead/upstreams/send-stamp.js';
 import {outcomes, type Refusal} from '@ebonylead/upstreams/upstreams.js';
 import {type AttemptProber} from './attempt-prober.js';
 import {type CallAges} from './call-ages.js';
@@ -39,6 +40,7 @@
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly requestIds: RequestIds;
+	readonly sendClock: SendClock;
 	readonly burnCounters: BurnCounters;
 	readonly log: Logger;
 	readonly decisionLog: DecisionLog;
--- /dev/null
+++ b/packages/node/src/mesh-node-settings.ts
@@ -0,0 +1,47 @@
+/** What a mesh node is configured with, and what it is created from. */
+import {type Logger} from '@ebonylead/base/logs.js';
+import {type CallerProtocol} from '@ebonylead/callers/caller-protocol.js';
+import {type RuleSource} from '@ebonylead/rules/rule-source.js';
+import {type RowStore} from '@ebonylead/store/row-store.js';
+import {type UpstreamProtocol} from '@ebonylead/upstreams/upstream-protocol.js';
+import {type Registry} from 'prom-client';
+
+/** Settings of a mesh node. */
+export type MeshNodeSettings = {
+	readonly id: string;
+	readonly dataCentre: string;
+	readonly region: string;
+	readonly host: string;
+
+	/** Hosts that may run a node; state is fetched from them while the store is unavailable and no other member is known. */
+	readonly seedHosts: readonly string[];
+
+	/** Port for the calls of other nodes. */
+	readonly meshPort: number;
+
+	/** Port for callers on this VM. */
+	readonly callerPort: number;
+
+	/** Bandwidth of the VM's link in kbit/s; undefined if it is not known. */
+	readonly linkRate?: number;
+
+	/** Number of retries that all nodes together may make in addition to the ratio; divided evenly among the nodes. */
+	readonly retrySlack: number;
+
+	/** Number of retries allowed per first attempt. */
+	readonly retryRatio: number;
+
+	/** Timeout of a graceful stop in milliseconds. */
+	readonly stopTimeout: number;
+};
+
+/** Dependencies of `MeshNode`. */
+export type MeshNodeDependencies = {
+	readonly settings: MeshNodeSettings;
+	readonly store: RowStore;
+	readonly ruleSource: RuleSource;
+	readonly callerProtocol: CallerProtocol;
+	readonly upstreamProtocol: UpstreamProtocol;
+	readonly registry: Registry;
+	readonly log: Logger;
+};
--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -9,7 +9,6 @@
 import {CallAges} from '@ebonylead/callers/call-ages.js';
 import {BurnCounters} from '@ebonylead/callers/burn-counters.js';
 import {CallMetrics} from '@ebonylead/callers/call-metrics.js';
-import {type CallerProtocol} from '@ebonylead/callers/caller-protocol.js';
 import {CallerListener} from '@ebonylead/callers/callers.js';
 import {MeshPools} from '@ebonylead/callers/mesh-pools.js';
 import {RequestIds} from '@ebonylead/callers/request-ids.js';
@@ -19,17 +18,17 @@
 import {Membership} from '@ebonylead/peers/membership.js';
 import {ActiveVersion} from '@ebonylead/rules/active-version.js';
 import {type RouteTable} from '@ebonylead/rules/route-table.js';
-import {type AcceptedRules, type RuleSource} from '@ebonylead/rules/rule-source.js';
-import {type RowStore} from '@ebonylead/store/row-store.js';
+import {type AcceptedRules} from '@ebonylead/rules/rule-source.js';
 import {CrashDetector} from '@ebonylead/upstreams/crash-detector.js';
 import {MeshListener, type StateQuery} from '@ebonylead/upstreams/mesh-listener.js';
 import {Quarantine} from '@ebonylead/upstreams/quarantine.js';
 import {RefusalMetrics} from '@ebonylead/upstreams/refusal-metrics.js';
 import {LocalUpstream} from '@ebonylead/upstreams/local-upstream.js';
+import {SendClock} from '@ebonylead/upstreams/send-stamp.js';
 import {registerUpstreamMetrics} from '@ebonylead/upstreams/upstream-metrics.js';
-import {type UpstreamProtocol} from '@ebonylead/upstreams/upstream-protocol.js';
-import {type Registry} from 'prom-client';
+import {TransitDelays} from '@ebonylead/upstreams/transit-delays.js';
 import {MemberDirectory} from './member-directory.js';
+import {type MeshNodeDependencies} from './mesh-node-settings.js';
 import {HttpFeedTransport, parsePosition} from './feed-transport.js';
 import {PeerStateFetcher, encodeState, type PeerState} from './peer-state.js';
 import {ReaderRanking} from './reader-ranking.js';
@@ -40,46 +39,6 @@
 import {RulesSync} from './rules-sync.js';
 import {AnnouncementHandler, upstreamStates} from './announcement-handler.js';
 
-/** Settings of a mesh node. */
-export type MeshNodeSettings = {
-	readonly id: string;
-	readonly dataCentre: string;
-	readonly region: string;
-	readonly host: string;
-
-	/** Hosts that may run a node; state is fetched from them while the store is unavailable and no other member is known. */
-	readonly seedHosts: readonly string[];
-
-	/** Port for the calls of other nodes. */
-	readonly meshPort: number;
-
-	/** Port for callers on this VM. */
-	readonly callerPort: number;
-
-	/** Bandwidth of the VM's link in kbit/s; undefined if it is not known. */
-	readonly linkRate?: number;
-
-	/** Number of retries that all nodes together may make in addition to the ratio; divided evenly among the nodes. */
-	readonly retrySlack: number;
-
-	/** Number of retries allowed per first attempt. */
-	readonly retryRatio: number;
-
-	/** Timeout of a graceful stop in milliseconds. */
-	readonly stopTimeout: number;
-};
-
-/** Dependencies of `MeshNode`. */
-export type MeshNodeDependencies = {
-	readonly settings: MeshNodeSettings;
-	readonly store: RowStore;
-	readonly ruleSource: RuleSource;
-	readonly callerProtocol: CallerProtocol;
-	readonly upstreamProtocol: UpstreamProtocol;
-	readonly registry: Registry;
-	readonly log: Logger;
-};
-
 /** Time for which a stopping node still accepts calls, so that callers can see that it is not ready before it refuses them. */
 const shutdownDelayMs = 3000;
 
@@ -173,6 +132,7 @@
 			log: this.#createLog('mesh'),
 			decisionLog: new DecisionLog(this.#createLog('mesh'), clock),
 			refusalMetrics: new RefusalMetrics(registry),
+			transitDelays: new TransitDelays(),
 			getState: query => this.#getState(query),
 			openFeed: (output, parameters) => {
 				this.#rulesFeed.add(output, parsePosition(parameters));
@@ -213,6 +173,7 @@
 			retryBudget: new RetryBudget(settings.retryRatio, () => settings.retrySlack / Math.max(1, this.#membership.aliveCount), clock, random),
 			metrics: new CallMetrics(registry),
 			requestIds: new RequestIds(random),
+			sendClock: new SendClock(clock, random),
 			burnCounters: new BurnCounters(clock),
 			clock,
 			random,
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -34,6 +34,8 @@
 import {CrashDetector} from '@ebonylead/upstreams/crash-detector.js';
 import {MeshListener} from '@ebonylead/upstreams/mesh-listener.js';
 import {Quarantine} from '@ebonylead/upstreams/quarantine.js';
+import {SendClock} from '@ebonylead/upstreams/send-stamp.js';
+import {TransitDelays} from '@ebonylead/upstreams/transit-delays.js';
 import {DefaultUpstreamProtocol} from '@ebonylead/upstreams/upstream-protocol.js';
 import {LocalUpstream, type UpstreamStatus} from '@ebonylead/upstreams/local-upstream.js';
 import {Registry} from 'prom-client';
@@ -121,7 +123,7 @@
 		});
 		this.#meshListener = new MeshListener({
 			localUpstream: this.#localUpstream, quarantine: this.#quarantine, crashDetector,
-			protocol: new DefaultUpstreamProtocol(), clock, log: this.#createLog('mesh'), decisionLog: new DecisionLog(this.#createLog('mesh'), clock),
+			protocol: new DefaultUpstreamProtocol(), clock, log: this.#createLog('mesh'), decisionLog: new DecisionLog(this.#createLog('mesh'), clock), transitDelays: new TransitDelays(),
 		});
 		this.#watcher = new HeadWatcher({
 			selfId: node.id,
@@ -157,6 +159,7 @@
 			retryBudget: new RetryBudget(undefined, undefined, clock, random),
 			metrics: new CallMetrics(this.#registry),
 			requestIds: new RequestIds(random),
+			sendClock: new SendClock(clock, random),
 			burnCounters: this.#burn,
 			clock,
 			random,
--- a/packages/stand-ins/src/mesh-harness.ts
+++ b/packages/stand-ins/src/mesh-harness.ts
@@ -26,8 +26,10 @@
 import {CrashDetector} from '@ebonylead/upstreams/crash-detector.js';
 import {MeshListener} from '@ebonylead/upstreams/mesh-listener.js';
 import {Quarantine, type Suspect} from '@ebonylead/upstreams/quarantine.js';
+import {TransitDelays} from '@ebonylead/upstreams/transit-delays.js';
 import {DefaultUpstreamProtocol} from '@ebonylead/upstreams/upstream-protocol.js';
 import {LocalUpstream} from '@ebonylead/upstreams/local-upstream.js';
+import {SendClock} from '@ebonylead/upstreams/send-stamp.js';
 import {Registry} from 'prom-client';
 import {DelayRelay} from './delay-relay.js';
 
@@ -92,6 +94,7 @@
 			retryBudget: new RetryBudget(undefined, undefined, this.#clock, random),
 			metrics: new CallMetrics(new Registry()),
 			requestIds: new RequestIds(random),
+			sendClock: new SendClock(this.#clock, random),
 			burnCounters: new BurnCounters(this.#clock),
 			clock: this.#clock,
 			random,
@@ -203,7 +206,14 @@
 			this.#shareSuspects(suspects);
 		});
 		return new MeshListener({
-			localUpstream, quarantine, crashDetector, protocol: new DefaultUpstreamProtocol(), clock: this.#clock, log, decisionLog: new DecisionLog(log, this.#clock),
+			localUpstream,
+			quarantine,
+			crashDetector,
+			protocol: new DefaultUpstreamProtocol(),
+			clock: this.#clock,
+			log,
+			decisionLog: new DecisionLog(log, this.#clock),
+			transitDelays: new TransitDelays(),
 			getState: () => '{}',
 		});
 	}
--- a/packages/upstreams/src/mesh-call.ts
+++ b/packages/upstreams/src/mesh-call.ts
@@ -3,6 +3,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {describeError} from '@ebonylead/base/errors.js';
 import {type AttemptRegistry, type RegisteredAttempt} from './attempt-registry.js';
+import {AttemptTimes} from './attempt-times.js';
 import {Cancellation} from './cancellation.js';
 import {isClientConnected} from './client-presence.js';
 import {type InFlightCall} from './crash-detector.js';
@@ -21,13 +22,13 @@
 	defaultPriority, meshHeaders, outcomes, refusalCauses, type SidecarRefusal,
 } from './upstreams.js';
 
-/** Deadline of a call without a deadline header. */
-const defaultDeadlineMs = 2000;
-
 /** Interval of the interim responses while a call is pending. Only entry nodes of an earlier version, which send no attempt id, need them. */
 const interimResponseIntervalMs = 100;
 const unreachableRetryAfterMs = 1000;
 
+/** Time in milliseconds from which on a call counts as one that waited for a slot. */
+const minWaitMs = 1;
+
 /** Retry delay after the upstream itself did not execute a call: an upstream that sheds calls beyond its slots has free capacity again soon. */
 const shedRetryAfterMs = 200;
 const firstAttempt = '1';
@@ -43,8 +44,7 @@
 	readonly #response: ServerResponse;
 	readonly #cancellation = new Cancellation();
 	readonly #attemptId: string | undefined;
-	readonly #deadline: number;
-	readonly #startedAt: number;
+	readonly #times: AttemptTimes;
 	#attempt: RegisteredAttempt | undefined;
 	#body: RequestBody;
 	#crashCount = 0;
@@ -55,8 +55,7 @@
 		this.#request = request;
 		this.#response = response;
 		this.#attemptId = readHeader(request, meshHeaders.attemptId);
-		this.#deadline = readPositiveInteger(request, meshHeaders.deadline) ?? defaultDeadlineMs;
-		this.#startedAt = dependencies.clock.now();
+		this.#times = new AttemptTimes(request, dependencies.clock, dependencies.transitDelays);
 	}
 
 	/** Handles the call until its response or refusal is sent, or the call is cancelled. */
@@ -70,7 +69,7 @@
 
 		const deadlineTimer = setTimeout(() => {
 			this.#cancellation.cancel(new Error('the deadline passed'));
-		}, this.#deadline);
+		}, Math.max(0, this.#times.timeLeft));
 		const interimTimer = this.#attemptId === undefined ? this.#startInterimResponses() : undefined;
 		this.#response.on('close', () => {
 			this.#attempt?.setEnded();
@@ -92,7 +91,7 @@
 			return true;
 		}
 
-		this.#attempt = this.#attempts.register(this.#attemptId, this.#deadline);
+		this.#attempt = this.#attempts.register(this.#attemptId, this.#times.deadline);
 		return this.#attempt !== undefined;
 	}
 
@@ -116,8 +115,11 @@
 		}
 
 		this.#mergeNotice();
-		const deadline = this.#startedAt + this.#deadline;
-		const objective = readPositiveInteger(this.#request, meshHeaders.objective);
+		if (this.#times.timeLeft <= 0) {
+			this.#refuseLate();
+			return;
+		}
+
 		await this.#readBody();
 		if (!await isClientConnected(this.#request)) {
 			this.#cancellation.cancel(new Error('the entry node closed its connection before the call was admitted'));
@@ -136,10 +138,11 @@
 			return;
 		}
 
+		const admittedFrom = this.#dependencies.clock.now();
 		const admission = await localUpstream.admission.admit({
 			caller: readHeader(this.#request, meshHeaders.caller) ?? '',
-			deadline,
-			objective: objective === undefined ? deadline : this.#startedAt + objective,
+			deadline: this.#times.deadlineAt,
+			objective: this.#times.objectiveAt,
 			priority: readNonNegativeInteger(this.#request, meshHeaders.priority) ?? defaultPriority,
 			route: readHeader(this.#request, meshHeaders.route) ?? '',
 			routeSlots: readPositiveInteger(this.#request, meshHeaders.routeSlots),
@@ -153,12 +156,31 @@
 
 		this.#attempt?.setRunning();
 		try {
+			await this.#checkAfterWait(admittedFrom);
 			await this.#runAdmitted(quarantineStatus);
 		} finally {
 			admission.release();
 		}
 	}
 
+	#refuseLate(): void {
+		const transit = Math.round(this.#times.transit);
+		if (!this.#response.headersSent && !this.#response.destroyed) {
+			this.#response.setHeader(meshHeaders.transit, String(transit));
+		}
+
+		this.#refuse({
+			status: statusUnavailable, outcome: outcomes.notRun, cause: refusalCauses.deadline, reason: `the deadline passed on the way to this node, which took ${transit} ms`,
+		});
+	}
+
+	/** Cancels a call that waited for a slot if its entry node has closed the connection meanwhile: the end may have arrived together with what made the slot free. */
+	async #checkAfterWait(admittedFrom: number): Promise<void> {
+		if (this.#dependencies.clock.now() - admittedFrom >= minWaitMs && !await isClientConnected(this.#request)) {
+			this.#cancellation.cancel(new Error('the entry node closed its connection while the call waited'));
+		}
+	}
+
 	/** Merges what the entry node knows of the upstream, before the call is admitted. */
 	#mergeNotice(): void {
 		const notice = decodeNotice(this.#request.headers[meshHeaders.notice]);
@@ -201,8 +223,12 @@
 		}
 
 		const {protocol, clock} = this.#dependencies;
+		const {timeLeft} = this.#times;
+		if (timeLeft <= 0) {
+			return {kind: 'unsent', error: new Error('the deadline passed before the call was sent to the upstream')};
+		}
+
 		const headers = copyRequestHeaders(this.#request.headers);
-		const timeLeft = Math.max(1, this.#startedAt + this.#deadline - clock.now());
 		protocol.setRequestHeaders(headers, {
 			timeLeft,
 			attempt: readHeader(this.#request, meshHeaders.attempt) ?? firstAttempt,
@@ -351,7 +377,7 @@
 			}
 		}
 
-		const {decisionLog, localUpstream, protocol, clock, refusalMetrics} = this.#dependencies;
+		const {decisionLog, localUpstream, protocol, refusalMetrics} = this.#dependencies;
 		refusalMetrics?.recordRefusal(refusal.cause, refusal.outcome);
 		decisionLog.record({
 			id: protocol.readRequestId(this.#request.headers),
@@ -364,8 +390,9 @@
 			running: localUpstream.admission.running,
 			waiting: localUpstream.admission.waiting,
 			estimates: localUpstream.admission.estimates,
-			deadline: this.#deadline,
-			duration: Math.round(clock.now() - this.#startedAt),
+			deadline: this.#times.deadline,
+			transit: Math.round(this.#times.transit),
+			duration: Math.round(this.#times.duration),
 		}, 'Refused a call of another node');
 		sendRefusal(this.#response, refusal);
 		this.#request.resume();
--- a/packages/upstreams/src/mesh-listener.ts
+++ b/packages/upstreams/src/mesh-listener.ts
@@ -21,6 +21,7 @@
 import {readHeader, readNonNegativeInteger} from './request-headers.js';
 import {type LocalUpstream} from './local-upstream.js';
 import {type UpstreamProtocol} from './upstream-protocol.js';
+import {type TransitDelays} from './transit-delays.js';
 import {meshHeaders} from './upstreams.js';
 
 /** Dependencies of `MeshListener`, which also passes them to each `MeshCall`. */
@@ -33,6 +34,9 @@
 	readonly log: Logger;
 	readonly decisionLog: DecisionLog;
 
+	/** Measures how long the attempts of each entry node were on their way. */
+	readonly transitDelays: TransitDelays;
+
 	/** Counts refusals; undefined where no metrics are exported. */
 	readonly refusalMetrics?: RefusalMetrics;
 
--- a/packages/upstreams/src/upstreams.ts
+++ b/packages/upstreams/src/upstreams.ts
@@ -8,6 +8,12 @@
 	/** Milliseconds left until the deadline of the call. */
 	deadline: 'x-ebonylead-deadline',
 
+	/** When the attempt was sent, by the clock of its entry node. */
+	sent: 'x-ebonylead-sent',
+
+	/** Milliseconds that an attempt spent on its way, on its refusal for that reason. */
+	transit: 'x-ebonylead-transit',
+
 	/** Number of the attempt, from 1; a call that an upstream makes while it handles a retry carries the number of the retry. */
 	attempt: 'x-ebonylead-attempt',
 
