Bound what the messages between nodes expand to

A node that got a feed line of 64 kB from a faulty node expanded it to 64 MB, and could exceed its memory. Lines were bounded, what they expand to was not.

--- a/packages/node/src/row-cache.ts
+++ b/packages/node/src/row-cache.ts
@@ -1,7 +1,6 @@
 /** Rows of a shared table as this node knows them, for the nodes that follow it. */
-import {Buffer} from 'node:buffer';
-import {gunzipSync, gzipSync} from 'node:zlib';
 import {type RowPage, type SharedRow} from '@ebonylead/store/row-store.js';
+import {decodeCompressed, encodeCompressed} from './compressed-json.js';
 
 /** Position in the changes of a table. */
 export type RowCursor = {readonly era: number; readonly revision: number};
@@ -15,9 +14,6 @@
 	readonly gzip?: string;
 };
 
-/** The lowest level, as processor time is scarcer than the little that the usual level saves. */
-const compressionLevel = 1;
-
 /** Keeps the rows, removed ones included, and since which revision it has all changes. */
 export class RowCache {
 	readonly #rows = new Map<string, SharedRow>();
@@ -103,7 +99,7 @@
 		let update = this.#updates.get(after);
 		if (update === undefined) {
 			const changes = this.listChanges(after);
-			const gzip = gzipSync(JSON.stringify(changes ?? this.listRows()), {level: compressionLevel}).toString('base64');
+			const gzip = encodeCompressed(changes ?? this.listRows());
 			update = {...this.#cursor, gzip, ...(changes === undefined && {isComplete: true})};
 			this.#updates.set(after, update);
 		}
@@ -113,7 +109,7 @@
 
 	/** Applies what another node sent. */
 	applyUpdate({era, revision, isComplete = false, gzip}: RowUpdate): void {
-		const rows = gzip === undefined ? [] : JSON.parse(gunzipSync(Buffer.from(gzip, 'base64')).toString()) as SharedRow[];
+		const rows = gzip === undefined ? [] : decodeCompressed(gzip) as SharedRow[];
 		this.apply({rows, revision, era}, isComplete);
 	}
 }
--- a/packages/node/src/rules-history.ts
+++ b/packages/node/src/rules-history.ts
@@ -1,10 +1,9 @@
 /** Recent accepted versions of this node, and their encoded forms for the nodes that follow it. */
-import {Buffer} from 'node:buffer';
-import {gunzipSync, gzipSync} from 'node:zlib';
 import {
 	applyDifference, computeChecksum, computeDifference, type RulesDifference,
 } from '@ebonylead/rules/rules-difference.js';
 import {type AcceptedRules} from '@ebonylead/rules/rule-source.js';
+import {decodeCompressed, encodeCompressed} from './compressed-json.js';
 
 /** An encoded version, as it is sent to another node. */
 export type RulesUpdate = {
@@ -22,9 +21,6 @@
 /** Number of versions that are kept; at two versions a second, those of the last 16 s. They share the rules that did not change. */
 const maxKeptVersions = 32;
 
-/** The lowest level, as processor time is scarcer than the 10 % of the size that the usual level saves. */
-const compressionLevel = 1;
-
 /** Keeps the recent versions, the last of them the current one. */
 export class RulesHistory {
 	#versions: AcceptedRules[] = [];
@@ -89,7 +85,7 @@
 	 * @throws Error if the update does not lead to the version that the other node has.
 	 */
 	decodeUpdate({gzip}: RulesUpdate): AcceptedRules {
-		const content = JSON.parse(gunzipSync(Buffer.from(gzip, 'base64')).toString()) as UpdateContent;
+		const content = decodeCompressed(gzip) as UpdateContent;
 		if (content.kind === 'whole') {
 			return validateWhole(content);
 		}
@@ -105,7 +101,7 @@
 }
 
 function buildUpdate(from: AcceptedRules | undefined, to: AcceptedRules): RulesUpdate {
-	const gzip = gzipSync(JSON.stringify(buildContent(from, to)), {level: compressionLevel}).toString('base64');
+	const gzip = encodeCompressed(buildContent(from, to));
 	return {version: to.snapshot.version, gzip};
 }
 
