Keep calls from an upstream whose end was acknowledged before the row was read

Cause: a node that restarts while the store is away does not know its upstream. The end carries no start time, so it was remembered under a key that matches no row, and the row made the upstream ready later.

Now an end without a start time is remembered with the time at which it arrived, and binds each process of that identity that started no later, whatever the row or a late heartbeat says; the row then says so too.

--- a/packages/node/src/announcement-handler.ts
+++ b/packages/node/src/announcement-handler.ts
@@ -1,4 +1,5 @@
 /** Processes the announcements of the local upstream, and publishes its state in this node's member record. */
+import {type Clock} from '@ebonylead/base/base.js';
 import {type Logger} from '@ebonylead/base/logs.js';
 import {UpstreamState} from '@ebonylead/peers/generated/peers.js';
 import {AnnouncementOrder, type AnnouncementStamp} from '@ebonylead/upstreams/announcement-order.js';
@@ -30,13 +31,15 @@
 export class AnnouncementHandler {
 	readonly #localUpstream: LocalUpstream;
 	readonly #directory: MemberDirectory;
+	readonly #clock: Clock;
 	readonly #log: Logger;
 	readonly #order = new AnnouncementOrder();
 	#newest: RecordedUpstream | undefined;
 
-	constructor(localUpstream: LocalUpstream, directory: MemberDirectory, log: Logger) {
+	constructor(localUpstream: LocalUpstream, directory: MemberDirectory, clock: Clock, log: Logger) {
 		this.#localUpstream = localUpstream;
 		this.#directory = directory;
+		this.#clock = clock;
 		this.#log = log;
 	}
 
@@ -63,26 +66,28 @@
 	 * call names the process that must handle it, and a different one rejects it.
 	 */
 	restore({announcement, stamp, hasLeft = false}: RecordedUpstream, state: UpstreamState): void {
-		if (!this.#order.accept(stamp)) {
+		// Its end may have been acknowledged before the row was read.
+		const hasEnded = this.#order.hasEnded(stamp);
+		if (!hasEnded && !this.#order.accept(stamp)) {
 			return;
 		}
 
-		if (hasLeft) {
+		if (hasLeft || hasEnded) {
 			this.#localUpstream.recordLeft(buildIncarnationKey(stamp.instance, stamp.startedAt));
 		}
 
-		if (state === UpstreamState.ABSENT) {
+		if (state === UpstreamState.ABSENT || (hasEnded && this.#newest !== undefined)) {
 			return;
 		}
 
 		this.#newest = {announcement, stamp};
-		this.#localUpstream.applyAnnouncement({...announcement, state: state === UpstreamState.READY ? 'ready' : 'draining'});
-		this.#log.info({stamp, state}, 'Restored the upstream that an earlier process of this node recorded');
+		this.#localUpstream.applyAnnouncement({...announcement, state: state === UpstreamState.READY && !hasEnded ? 'ready' : 'draining'});
+		this.#log.info({stamp, state, hasEnded}, 'Restored the upstream that an earlier process of this node recorded');
 	}
 
 	/** Handles the message of an upstream process that it has ended or is about to end. */
 	async handleEnd(instance: string, startedAt: number | undefined): Promise<void> {
-		this.#order.recordEnd(instance, startedAt);
+		this.#order.recordEnd(instance, startedAt, this.#clock.wallTime());
 		if (this.#localUpstream.instance !== instance) {
 			this.#log.info({instance, known: this.#localUpstream.instance}, 'Ignored the end of an upstream process that is not in use');
 			return;
--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -119,7 +119,7 @@
 				}
 			},
 		});
-		this.announcementHandler = new AnnouncementHandler(this.#localUpstream, this.#directory, this.#createLog('upstream'));
+		this.announcementHandler = new AnnouncementHandler(this.#localUpstream, this.#directory, clock, this.#createLog('upstream'));
 		registerUpstreamMetrics(registry, this.#localUpstream);
 		const quarantine = new Quarantine(clock);
 		const crashDetector = new CrashDetector(this.#localUpstream, quarantine, this.#createLog('mesh'), () => undefined);
--- a/packages/node/src/test/announcement-handler_test.ts
+++ b/packages/node/src/test/announcement-handler_test.ts
@@ -55,7 +55,7 @@
 			}
 		},
 	});
-	const handler = new AnnouncementHandler(localUpstream, directory, log);
+	const handler = new AnnouncementHandler(localUpstream, directory, new SystemClock(), log);
 	void handler.run();
 	const running = directory.run(controller.signal);
 	try {
@@ -122,5 +122,19 @@
 			await handler.handleEnd('i', undefined);
 			store.isDown = false;
 		});
+		await withProcess(store, async (handler, localUpstream) => {
+			await handler.handleAnnouncement(buildAnnouncement('ready', 2));
+			t.not(localUpstream.status.value.state, 'ready', 'after one more restart');
+		});
+	});
+
+	it('make the next process of an upstream ready that started after the end of the one before, although neither the row nor the end told when that had started', async t => {
+		await withProcess(new FakeRowStore(), async (handler, localUpstream) => {
+			await handler.handleEnd('i', undefined);
+			await handler.handleAnnouncement(buildAnnouncement('ready', 7, Date.now() - 1000));
+			t.not(localUpstream.status.value.state, 'ready');
+			await handler.handleAnnouncement(buildAnnouncement('ready', 1, Date.now() + 1000));
+			t.is(localUpstream.status.value.state, 'ready');
+		});
 	});
 });
--- a/packages/upstreams/src/announcement-order.ts
+++ b/packages/upstreams/src/announcement-order.ts
@@ -12,7 +12,7 @@
 	readonly sequence: number;
 };
 
-/** Maximum number of ended processes that are tracked; far more than can have announcements in transit. */
+/** Maximum number of ended processes that are remembered; far more than can have announcements in transit. */
 const maxEndedProcesses = 64;
 
 /**
@@ -26,6 +26,9 @@
 	#newest: AnnouncementStamp | undefined;
 	readonly #endedProcesses = new Set<string>();
 
+	/** Identities of processes that ended without telling when they started, each with the time of day in milliseconds at which they did. A process that started later is another one. */
+	readonly #endedInstances = new Map<string, number>();
+
 	/** Stamp of the newest accepted announcement. */
 	get newest(): AnnouncementStamp | undefined {
 		return this.#newest;
@@ -33,7 +36,7 @@
 
 	/** Records the announcement as the newest and returns true, or returns false if it is outdated. */
 	accept(stamp: AnnouncementStamp): boolean {
-		if (this.#endedProcesses.has(buildProcessKey(stamp)) || (this.#newest && !isNewer(stamp, this.#newest))) {
+		if (this.hasEnded(stamp) || (this.#newest && !isNewer(stamp, this.#newest))) {
 			return false;
 		}
 
@@ -45,21 +48,43 @@
 		return true;
 	}
 
-	/** Records that a process has deregistered; its late announcements are not accepted. */
-	recordEnd(instance: string, startedAt: number | undefined): void {
-		const isNewest = this.#newest?.instance === instance;
-		this.#addEndedProcess(buildProcessKey({instance, startedAt: startedAt ?? (isNewest ? this.#newest?.startedAt : undefined), sequence: 0}));
+	/** Returns whether the process of an announcement has deregistered, or was followed by another one. */
+	hasEnded(stamp: AnnouncementStamp): boolean {
+		const endedAt = this.#endedInstances.get(stamp.instance);
+		return this.#endedProcesses.has(buildProcessKey(stamp))
+			|| (endedAt !== undefined && (stamp.startedAt === undefined || stamp.startedAt <= endedAt));
+	}
+
+	/**
+	 * Records that a process has deregistered; its late announcements are not accepted.
+	 *
+	 * @param startedAt Start time of the process; undefined if the message did not tell it.
+	 * @param endedAt Time of day in milliseconds at which the message arrived.
+	 */
+	recordEnd(instance: string, startedAt: number | undefined, endedAt: number): void {
+		const knownStart = startedAt ?? (this.#newest?.instance === instance ? this.#newest.startedAt : undefined);
+		if (knownStart === undefined) {
+			this.#endedInstances.set(instance, endedAt);
+			removeOldest(this.#endedInstances);
+		} else {
+			this.#addEndedProcess(buildProcessKey({instance, startedAt: knownStart, sequence: 0}));
+		}
 	}
 
 	#addEndedProcess(key: string): void {
 		this.#endedProcesses.add(key);
-		for (const oldest of this.#endedProcesses) {
-			if (this.#endedProcesses.size <= maxEndedProcesses) {
-				return;
-			}
+		removeOldest(this.#endedProcesses);
+	}
+}
 
-			this.#endedProcesses.delete(oldest);
+/** Removes the entries that were added first, down to the maximum. */
+function removeOldest(ended: Set<string> | Map<string, number>): void {
+	for (const oldest of ended.keys()) {
+		if (ended.size <= maxEndedProcesses) {
+			return;
 		}
+
+		ended.delete(oldest);
 	}
 }
 
--- a/packages/upstreams/src/test/announcement-order_test.ts
+++ b/packages/upstreams/src/test/announcement-order_test.ts
@@ -16,7 +16,7 @@
 		it('accepts none after the process has deregistered', t => {
 			const order = new AnnouncementOrder();
 			order.accept(first);
-			order.recordEnd('i-1', undefined);
+			order.recordEnd('i-1', undefined, 5000);
 			t.false(order.accept({...first, sequence: 5}));
 		});
 	});
