--- a/packages/bench/src/bench-capacity.ts
+++ b/packages/bench/src/bench-capacity.ts
@@ -218,7 +218,7 @@
 	async #send(versionDelta: Uint8Array, members: Member[], range: KeyRange | undefined): Promise<void> {
 		const address = {host: '127.0.0.1', peerPort: this.#fleet.getPorts(vm).peers};
 		await this.#transport.push(address, {
-			deployment: 'capacity', senderHost: this.#fake.firstAddress.host, senderPort: fakeMembersPort, range, versionDelta: Buffer.from(versionDelta), members, ancestors: [], suspects: [],
+			deployment: 'capacity', senderHost: this.#fake.firstAddress.host, senderPort: fakeMembersPort, range, versionDelta: Buffer.from(versionDelta), members, ancestors: [], crashRecords: [],
 		}, pushTimeoutMs);
 	}
 }
--- a/packages/callers/src/attempt-headers.ts
+++ b/packages/callers/src/attempt-headers.ts
@@ -13,8 +13,11 @@
 	/** Number of the attempt, from 1; a call that is made on behalf of a retry starts with the number of that retry. */
 	readonly attempt: number;
 
-	/** Number of upstreams that crashed while the call was in flight there. */
-	readonly crashes: number;
+	/** What this node knows of crashes at which an equal request was in flight, encoded; undefined if that is nothing. */
+	readonly crashes: string | undefined;
+
+	/** Digest of all crashes that this node knows of; empty if it knows of none. */
+	readonly crashDigest: string;
 
 	/** What this node knows of the upstream from its responses, encoded; undefined if that is nothing. */
 	readonly notice: string | undefined;
@@ -55,8 +58,12 @@
 		headers[meshHeaders.attempt] = String(values.attempt);
 	}
 
-	if (values.crashes > 0) {
-		headers[meshHeaders.suspect] = String(values.crashes);
+	if (values.crashes !== undefined) {
+		headers[meshHeaders.crashes] = values.crashes;
+	}
+
+	if (values.crashDigest !== '') {
+		headers[meshHeaders.crashDigest] = values.crashDigest;
 	}
 
 	if (values.notice !== undefined) {
--- a/packages/callers/src/attempt.ts
+++ b/packages/callers/src/attempt.ts
@@ -194,6 +194,13 @@
 		}
 	}
 
+	#recordResponse(headers: ResponseHeaders): void {
+		const {pools, onVersion, onCrashDigest} = this.#dependencies;
+		pools.recordResponse(this.origin);
+		onVersion?.(Number(headers[meshHeaders.version] ?? 0), this.origin);
+		onCrashDigest?.(String(headers[meshHeaders.crashDigest] ?? ''), this.origin);
+	}
+
 	readonly #handleCallCancel = (reason: Error) => {
 		this.#cancellation.cancel(reason);
 	};
@@ -267,7 +274,7 @@
 	}
 
 	#recordEnd(result: ForwardResult): void {
-		const {chooser, pools, clock, onVersion} = this.#dependencies;
+		const {chooser, pools, clock} = this.#dependencies;
 		const age = clock.now() - this.#startedAt;
 		const isCallCancelled = this.#options.cancellation.isCancelled;
 		const isLost = result.kind === 'unsent' || result.kind === 'unanswered' || result.kind === 'cut';
@@ -282,8 +289,7 @@
 
 		if ('headers' in result) {
 			this.#checkTransit(result.headers, age);
-			pools.recordResponse(this.origin);
-			onVersion?.(Number(result.headers[meshHeaders.version] ?? 0), this.origin);
+			this.#recordResponse(result.headers);
 		}
 
 		if (result.kind === 'unanswered' && isCallCancelled && age > this.#options.timeLeft - timerToleranceMs) {
--- a/packages/callers/src/call.ts
+++ b/packages/callers/src/call.ts
@@ -3,10 +3,11 @@
 import {describeError} from '@ebonylead/base/errors.js';
 import {type Route} from '@ebonylead/rules/route-table.js';
 import {type ActiveSnapshot} from '@ebonylead/rules/active-version.js';
+import {CallQuarantine} from '@ebonylead/upstreams/call-quarantine.js';
 import {Cancellation} from '@ebonylead/upstreams/cancellation.js';
 import {isClientConnected} from '@ebonylead/upstreams/client-presence.js';
 import {copyRequestHeaders, type ResponseHeaders} from '@ebonylead/upstreams/forward.js';
-import {readBody, type RequestBody} from '@ebonylead/upstreams/request-body.js';
+import {readBodyOrCancel, type RequestBody} from '@ebonylead/upstreams/request-body.js';
 import {readPositiveInteger} from '@ebonylead/upstreams/request-headers.js';
 import {meshHeaders, outcomes, type Refusal} from '@ebonylead/upstreams/upstreams.js';
 import {chooseService} from './service-split.js';
@@ -21,7 +22,7 @@
 import {type RequestTarget} from './request-target.js';
 import {canRetry, isRetryableFailure} from './retry-limits.js';
 
-/** Number of crashed upstreams after which a call that was in flight there is not retried. */
+/** Number of crashed upstreams after which a call that may have been the cause is not retried. */
 const maxCrashes = 2;
 
 const statusBadRequest = 400;
@@ -57,9 +58,9 @@
 	#age = 0;
 	#service = '';
 	readonly #record = new CallRecord();
+	readonly #quarantine: CallQuarantine;
+	#body: RequestBody;
 
-	/** Number of upstreams that crashed while this call was in flight there. */
-	#crashes = 0;
 	#lastRefusal: Refusal = {status: statusUnavailable, outcome: outcomes.notRun, reason: 'no try was made'};
 
 	constructor(dependencies: CallerListenerDependencies, request: IncomingMessage, response: ServerResponse) {
@@ -68,6 +69,7 @@
 		this.#response = response;
 		this.#activeSnapshot = dependencies.activeVersion.current;
 		this.#startedAt = dependencies.clock.now();
+		this.#quarantine = new CallQuarantine(dependencies.quarantine, request, () => this.#body);
 	}
 
 	/** Runs the call to its end. */
@@ -137,29 +139,34 @@
 	}
 
 	async #runAttempts(route: Route): Promise<void> {
-		const body = await this.#readBody();
+		this.#body = await readBodyOrCancel(this.#request, this.#cancellation);
 		await this.#checkCaller();
 		if (this.#cancellation.isCancelled) {
 			this.#refuse({status: statusTimeout, outcome: outcomes.notRun, reason: 'the body did not come whole before the deadline'});
 			return;
 		}
 
+		if (this.#quarantine.status === 'quarantined') {
+			this.#refuse(this.#quarantine.buildRefusal());
+			return;
+		}
+
 		this.#headers = copyRequestHeaders(this.#request.headers);
 		this.#headers[meshHeaders.requestId] ??= this.#dependencies.protocol.readRequestId(this.#request) ?? this.#dependencies.requestIds.create();
 		this.#headers[meshHeaders.caller] = this.#dependencies.protocol.readCaller(this.#request);
 		this.#dependencies.retryBudget.recordCall(this.#service);
 		const inheritedAttempt = readPositiveInteger(this.#request, meshHeaders.attempt) ?? 1;
 		let attemptCount = 1;
-		let step = this.#startAttempt(route, body, inheritedAttempt) ?? await this.#waitForStep(route);
+		let step = this.#startAttempt(route, inheritedAttempt) ?? await this.#waitForStep(route);
 		while (step !== 'done') {
-			if (step === 'retry' && body !== this.#request && this.#canRetry(route, attemptCount)) {
+			if (step === 'retry' && this.#body !== this.#request && this.#canRetry(route, attemptCount)) {
 				await this.#checkCaller();
 				if (this.#cancellation.isCancelled) {
 					continue;
 				}
 
 				attemptCount++;
-				step = this.#startAttempt(route, body, inheritedAttempt + attemptCount - 1, () => this.#admitRetry(inheritedAttempt)) ?? await this.#waitForStep(route);
+				step = this.#startAttempt(route, inheritedAttempt + attemptCount - 1, () => this.#admitRetry(inheritedAttempt)) ?? await this.#waitForStep(route);
 			} else if (this.#inFlight.isEmpty) {
 				this.#refuse(step === 'retry' ? this.#lastRefusal : step);
 				return;
@@ -206,7 +213,7 @@
 	}
 
 	/** Starts an attempt; returns a refusal if there is no upstream for it, or if it is not admitted then. */
-	#startAttempt(route: Route, body: RequestBody, attemptNumber: number, admit: () => boolean = () => true): Refusal | undefined {
+	#startAttempt(route: Route, attemptNumber: number, admit: () => boolean = () => true): Refusal | undefined {
 		const {chooser, requestIds} = this.#dependencies;
 		const member = chooser.choose(this.#service, route, this.#attemptedIds);
 		if (member === undefined) {
@@ -226,7 +233,7 @@
 			method: this.#request.method ?? 'GET',
 			path: this.#request.url ?? '/',
 			headers: this.#buildHeaders(route, id, member.id, attemptNumber),
-			body,
+			body: this.#body,
 			response: this.#response,
 			cancellation: this.#cancellation,
 			timeLeft: this.#timeLeft,
@@ -326,8 +333,8 @@
 			this.#dependencies.chooser.recordCapacityRefusal(attempt.member, route, this.#lastRefusal);
 		}
 
-		this.#crashes = Math.max(this.#crashes, Number(headers[meshHeaders.suspect] ?? 0));
-		if (this.#crashes >= maxCrashes) {
+		this.#quarantine.merge(headers[meshHeaders.crashes]);
+		if (this.#quarantine.status === 'quarantined' || (mayHaveRun && this.#quarantine.crashCount >= maxCrashes)) {
 			return this.#lastRefusal;
 		}
 
@@ -344,7 +351,8 @@
 			attempt: attemptNumber,
 			service: this.#service,
 			notice: this.#dependencies.chooser.notices.encode(memberId),
-			crashes: this.#crashes,
+			crashes: this.#quarantine.encode(),
+			crashDigest: this.#dependencies.quarantine.digest,
 			sent: this.#dependencies.sendClock.createStamp(),
 			timeLeft: this.#timeLeft,
 			objectiveLeft: rule.objective === undefined ? undefined : rule.objective - elapsedMs,
@@ -354,15 +362,6 @@
 		return headers;
 	}
 
-	async #readBody(): Promise<RequestBody> {
-		try {
-			return await readBody(this.#request, this.#cancellation);
-		} catch (error) {
-			this.#cancellation.cancel(error as Error);
-			return undefined;
-		}
-	}
-
 	/** Counts the call for the error budget of its route, unless the caller left: that shows nothing about the service. */
 	#recordBurn(route: Route): void {
 		if (this.#record.result !== callResults.callerLeft) {
--- a/packages/callers/src/callers.ts
+++ b/packages/callers/src/callers.ts
@@ -14,6 +14,7 @@
 import {type ActiveVersion} from '@ebonylead/rules/active-version.js';
 import {listenOn} from '@ebonylead/base/listening.js';
 import {OpenConnections} from '@ebonylead/upstreams/open-connections.js';
+import {type Quarantine} from '@ebonylead/upstreams/quarantine.js';
 import {type SendClock} from '@ebonylead/upstreams/send-stamp.js';
 import {outcomes, type Refusal} from '@ebonylead/upstreams/upstreams.js';
 import {type AttemptProber} from './attempt-prober.js';
@@ -41,6 +42,12 @@
 	readonly random: Random;
 	readonly requestIds: RequestIds;
 	readonly sendClock: SendClock;
+
+	/** Crashes of upstreams that this node knows of. */
+	readonly quarantine: Quarantine;
+
+	/** Called with the digest of the crashes that a node that responded knows of, and the origin of that node. */
+	readonly onCrashDigest?: (digest: string, origin: string) => void;
 	readonly burnCounters: BurnCounters;
 	readonly log: Logger;
 	readonly decisionLog: DecisionLog;
--- a/packages/callers/src/test/faulty-call_test.ts
+++ b/packages/callers/src/test/faulty-call_test.ts
@@ -111,7 +111,6 @@
 
 		it('are not retried after two upstreams if they are idempotent, before other nodes know of them', async t => {
 			await withHarness(async harness => {
-				harness.isSharingSuspects = false;
 				const state = {crashes: 0};
 				for (let index = 0; index < 4; index++) {
 					const vm = await harness.addVm(() => {
--- /dev/null
+++ b/packages/node/src/crash-gossip.ts
@@ -0,0 +1,220 @@
+/** Spreads the crashes of upstreams that one node has seen to all others, without the store. */
+import {chooseInteger, type Clock, type Random} from '@ebonylead/base/base.js';
+import {readBoundedText} from '@ebonylead/base/bounded-text.js';
+import {StepError, describeError} from '@ebonylead/base/errors.js';
+import {type Logger} from '@ebonylead/base/logs.js';
+import {MemberState, type Member} from '@ebonylead/peers/generated/peers.js';
+import {type Membership} from '@ebonylead/peers/membership.js';
+import {decodeCrashRecords, encodeCrashRecords, type CrashRecord} from '@ebonylead/upstreams/crash-record.js';
+import {crashPath, maxCrashBytes} from '@ebonylead/upstreams/mesh-listener.js';
+import {type Quarantine} from '@ebonylead/upstreams/quarantine.js';
+import {Agent} from 'undici';
+
+/** Dependencies of `CrashGossip`. */
+export type CrashGossipDependencies = {
+	/** Identifier of this node. */
+	readonly id: string;
+	readonly quarantine: Quarantine;
+	readonly membership: Membership;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly log: Logger;
+
+	/** Sends a text to a node, and resolves to its response. */
+	readonly send: (origin: string, text: string) => Promise<string>;
+};
+
+/** Interval in milliseconds between two rounds while there is something to spread. */
+const roundIntervalMs = 150;
+
+/** Number of nodes that each node sends its news to in a round. */
+const fanout = 2;
+
+/** Number of rounds beyond those in which news that doubles in each round reaches all members. */
+const extraRounds = 2;
+
+/** Minimum interval in milliseconds between two exchanges because of a different digest. */
+const exchangeIntervalMs = 250;
+
+/** Maximum number of records in a message; the newest ones. */
+const maxRecords = 2000;
+
+/** What nodes send each other. */
+type CrashMessage = {
+	/** Digest of all crashes that the sender knows of. */
+	readonly digest: string;
+
+	/** Encoded records: the news of the sender, or all that it knows. */
+	readonly records: string;
+};
+
+/** A record that is still spread. */
+type News = {
+	readonly record: CrashRecord;
+	readonly learnedAt: number;
+	roundsLeft: number;
+};
+
+/**
+ * Each node passes what it learns on to a few random ones, for as many rounds as
+ * it takes to reach all of them with high probability. Who missed it, because it
+ * was cut off or has just started, learns of it with its next call: nodes compare
+ * the digests of what they know on each call, and exchange all if these differ.
+ */
+export class CrashGossip {
+	readonly #dependencies: CrashGossipDependencies;
+
+	/** News by request and crash. */
+	readonly #news = new Map<string, News>();
+	#isSpreading = false;
+	#exchangedAt = Number.NEGATIVE_INFINITY;
+	#isStopped = false;
+
+	constructor(dependencies: CrashGossipDependencies) {
+		this.#dependencies = dependencies;
+	}
+
+	/** Spreads records that this node has learned. */
+	spread(records: readonly CrashRecord[]): void {
+		const {membership, clock} = this.#dependencies;
+		const roundsLeft = Math.ceil(Math.log2(membership.aliveCount + 1)) + extraRounds;
+		for (const record of records) {
+			this.#news.set(`${record.fingerprint} ${record.crash}`, {record, learnedAt: clock.now(), roundsLeft});
+		}
+
+		void this.#runRounds();
+	}
+
+	/** Handles the digest of another node: exchanges all records with it if it knows others. */
+	handleDigest(digest: string, origin: string): void {
+		const {quarantine, clock} = this.#dependencies;
+		if (digest !== quarantine.digest && clock.now() - this.#exchangedAt >= exchangeIntervalMs) {
+			this.#exchangedAt = clock.now();
+			void this.#exchange(origin, quarantine.listRecords());
+		}
+	}
+
+	/** Merges a message of another node, and builds the response: all records if the other node still knows others. */
+	receive(text: string): string {
+		const {quarantine} = this.#dependencies;
+		const {digest, records} = decodeMessage(text);
+		quarantine.merge(decodeCrashRecords(records));
+		return this.#buildMessage(digest === quarantine.digest ? [] : quarantine.listRecords());
+	}
+
+	/** Stops spreading. */
+	stop(): void {
+		this.#isStopped = true;
+		this.#news.clear();
+	}
+
+	async #runRounds(): Promise<void> {
+		if (this.#isSpreading) {
+			return;
+		}
+
+		this.#isSpreading = true;
+		while (this.#news.size > 0) {
+			const records = this.#takeNews();
+			for (const {host, meshPort} of this.#choosePeers()) {
+				void this.#exchange(`http://${host}:${meshPort}`, records);
+			}
+
+			await this.#dependencies.clock.sleep(roundIntervalMs);
+		}
+
+		this.#isSpreading = false;
+	}
+
+	/** Takes one round of all news. */
+	#takeNews(): CrashRecord[] {
+		const now = this.#dependencies.clock.now();
+		const records: CrashRecord[] = [];
+		for (const [key, news] of this.#news) {
+			records.push({...news.record, age: news.record.age + now - news.learnedAt});
+			news.roundsLeft--;
+			if (news.roundsLeft === 0) {
+				this.#news.delete(key);
+			}
+		}
+
+		return records;
+	}
+
+	#choosePeers(): Member[] {
+		const {membership, id, random} = this.#dependencies;
+		const members = membership.listAll().filter(member => member.state === MemberState.ALIVE && member.id !== id);
+		const peers: Member[] = [];
+		while (peers.length < fanout && members.length > 0) {
+			peers.push(...members.splice(chooseInteger(random, members.length), 1));
+		}
+
+		return peers;
+	}
+
+	async #exchange(origin: string, records: readonly CrashRecord[]): Promise<void> {
+		const {quarantine, send, log} = this.#dependencies;
+		if (this.#isStopped) {
+			return;
+		}
+
+		try {
+			const response = decodeMessage(await send(origin, this.#buildMessage(records)));
+			quarantine.merge(decodeCrashRecords(response.records));
+		} catch (error) {
+			// Another node passes it on, or the next call shows that the digests differ.
+			log.info({origin, reason: describeError(error)}, 'Exchanging known crashes with a node failed');
+		}
+	}
+
+	#buildMessage(records: readonly CrashRecord[]): string {
+		const message: CrashMessage = {digest: this.#dependencies.quarantine.digest, records: encodeCrashRecords(records.slice(-maxRecords))};
+		return JSON.stringify(message);
+	}
+}
+
+/** Sends messages over HTTP. */
+export class HttpCrashTransport {
+	readonly #agent = new Agent({
+		connections: 1, connect: {timeout: requestTimeoutMs}, headersTimeout: requestTimeoutMs, bodyTimeout: requestTimeoutMs, keepAliveTimeout: idleTimeoutMs, maxResponseSize: maxCrashBytes,
+	});
+
+	/**
+	 * Sends a text to a node, and returns its response.
+	 *
+	 * @throws StepError if the node does not know such messages; Error if it does not respond in time.
+	 */
+	async send(origin: string, text: string): Promise<string> {
+		const {statusCode, body} = await this.#agent.request({
+			origin, method: 'POST', path: crashPath, body: text, headers: {'content-type': 'application/json'}, signal: AbortSignal.timeout(requestTimeoutMs),
+		});
+		const response = await readBoundedText(body, maxCrashBytes, origin);
+		if (statusCode !== statusOk) {
+			throw new StepError('exchange crashes', origin, `status ${statusCode}`);
+		}
+
+		return response;
+	}
+
+	/** Closes all connections. */
+	async close(): Promise<void> {
+		await this.#agent.destroy();
+	}
+}
+
+/** Longest time in milliseconds of an exchange. */
+const requestTimeoutMs = 500;
+
+/** Time in milliseconds after which an unused connection is closed. */
+const idleTimeoutMs = 4000;
+const statusOk = 200;
+
+function decodeMessage(text: string): CrashMessage {
+	try {
+		const {digest, records} = JSON.parse(text) as Partial<CrashMessage>;
+		return {digest: typeof digest === 'string' ? digest : '', records: typeof records === 'string' ? records : ''};
+	} catch {
+		// What is not JSON tells of no crash.
+		return {digest: '', records: ''};
+	}
+}
--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -25,8 +25,9 @@
 import {RefusalMetrics} from '@ebonylead/upstreams/refusal-metrics.js';
 import {LocalUpstream} from '@ebonylead/upstreams/local-upstream.js';
 import {SendClock} from '@ebonylead/upstreams/send-stamp.js';
-import {registerUpstreamMetrics} from '@ebonylead/upstreams/upstream-metrics.js';
+import {registerQuarantineMetrics, registerUpstreamMetrics} from '@ebonylead/upstreams/upstream-metrics.js';
 import {TransitDelays} from '@ebonylead/upstreams/transit-delays.js';
+import {CrashGossip, HttpCrashTransport} from './crash-gossip.js';
 import {MemberDirectory} from './member-directory.js';
 import {type MeshNodeDependencies} from './mesh-node-settings.js';
 import {HttpFeedTransport, parsePosition} from './feed-transport.js';
@@ -74,6 +75,9 @@
 export class MeshNode {
 	/** Handles the announcements of the local upstream. */
 	readonly announcementHandler: AnnouncementHandler;
+
+	/** The requests that crash upstreams, for operators. */
+	readonly quarantine: Quarantine;
 	readonly #dependencies: MeshNodeDependencies;
 	readonly #clock: Clock = new SystemClock();
 	readonly #random = new SystemRandom();
@@ -92,6 +96,8 @@
 	readonly #ranking: ReaderRanking;
 	readonly #rulesSync: RulesSync;
 	readonly #rulesFeed: RulesFeed;
+	readonly #crashGossip: CrashGossip;
+	readonly #crashTransport = new HttpCrashTransport();
 
 	/** Whether a peer has sent members; then the node can serve before it has read the store. */
 	#hasPeerMembers = false;
@@ -121,11 +127,23 @@
 		});
 		this.announcementHandler = new AnnouncementHandler(this.#localUpstream, this.#directory, clock, this.#createLog('upstream'));
 		registerUpstreamMetrics(registry, this.#localUpstream);
-		const quarantine = new Quarantine(clock);
-		const crashDetector = new CrashDetector(this.#localUpstream, quarantine, this.#createLog('mesh'), () => undefined);
+		this.quarantine = new Quarantine(clock, this.#createLog('mesh'), records => {
+			this.#crashGossip.spread(records);
+		});
+		registerQuarantineMetrics(registry, this.quarantine);
+		this.#crashGossip = new CrashGossip({
+			id: settings.id,
+			quarantine: this.quarantine,
+			membership: this.#membership,
+			clock,
+			random,
+			log: this.#createLog('mesh'),
+			send: async (origin, text) => this.#crashTransport.send(origin, text),
+		});
+		const crashDetector = new CrashDetector(this.#localUpstream, this.quarantine, clock, this.#createLog('mesh'));
 		this.#meshListener = new MeshListener({
 			localUpstream: this.#localUpstream,
-			quarantine,
+			quarantine: this.quarantine,
 			crashDetector,
 			protocol: upstreamProtocol,
 			clock,
@@ -137,6 +155,8 @@
 			openFeed: (output, parameters) => {
 				this.#rulesFeed.add(output, parsePosition(parameters));
 			},
+			exchangeCrashes: text => this.#crashGossip.receive(text),
+			onCrashDigest: this.#handleCrashDigest,
 			getVersion: () => this.#activeVersion.version,
 			onVersion: (version, origin) => {
 				this.#stateFetcher.recordVersion(version, origin);
@@ -174,6 +194,8 @@
 			metrics: new CallMetrics(registry),
 			requestIds: new RequestIds(random),
 			sendClock: new SendClock(clock, random),
+			quarantine: this.quarantine,
+			onCrashDigest: this.#handleCrashDigest,
 			burnCounters: new BurnCounters(clock),
 			clock,
 			random,
@@ -247,13 +269,18 @@
 	/** Closes everything at once. */
 	async close(): Promise<void> {
 		this.#controller.abort();
+		this.#crashGossip.stop();
 		this.#callerListener.close();
 		this.#callerListener.closeAllConnections();
 		this.#meshListener.close();
 		this.#meshListener.closeAllConnections();
-		await Promise.all([this.#pools.close(), this.#localUpstream.close()]);
+		await Promise.all([this.#pools.close(), this.#localUpstream.close(), this.#crashTransport.close()]);
 	}
 
+	readonly #handleCrashDigest = (digest: string, origin: string) => {
+		this.#crashGossip.handleDigest(digest, origin);
+	};
+
 	get #canServe(): boolean {
 		return this.#activeVersion.version > 0 && (this.#directory.isLoaded || this.#hasPeerMembers);
 	}
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -33,7 +33,7 @@
 import {AnnouncementListener} from '@ebonylead/upstreams/announcement-listener.js';
 import {CrashDetector} from '@ebonylead/upstreams/crash-detector.js';
 import {MeshListener} from '@ebonylead/upstreams/mesh-listener.js';
-import {Quarantine} from '@ebonylead/upstreams/quarantine.js';
+import {Quarantine, crashSources} from '@ebonylead/upstreams/quarantine.js';
 import {SendClock} from '@ebonylead/upstreams/send-stamp.js';
 import {TransitDelays} from '@ebonylead/upstreams/transit-delays.js';
 import {DefaultUpstreamProtocol} from '@ebonylead/upstreams/upstream-protocol.js';
@@ -80,7 +80,7 @@
 	readonly #log: Logger;
 	readonly #controller = new AbortController();
 	readonly #activeVersion = new ActiveVersion();
-	readonly #quarantine = new Quarantine(this.#clock);
+	readonly #quarantine: Quarantine;
 	readonly #burn = new BurnCounters(this.#clock);
 	readonly #transport = new GrpcTransport();
 	readonly #pools = new MeshPools(this.#clock);
@@ -114,13 +114,16 @@
 		this.#platform = new HttpStore(platform);
 		const versions = new VersionStore(deployment, this.#platform, this.#platform);
 		const seeds = new SeedStore(deployment, this.#platform);
+		this.#quarantine = new Quarantine(clock, this.#createLog('mesh'), (records, source) => {
+			if (source !== crashSources.peer) {
+				void this.#peers.sendCrashRecords(records);
+			}
+		});
 		this.#peers = this.#createPeers();
 		this.#peerServer = new GrpcServer(deployment, this.#peers, this.#transport.counts);
 		this.#localUpstream = new LocalUpstream(clock, this.#createLog('upstream'));
 		this.#announcementListener = new AnnouncementListener(this.#localUpstream);
-		const crashDetector = new CrashDetector(this.#localUpstream, this.#quarantine, this.#createLog('mesh'), suspects => {
-			void this.#peers.sendSuspects(suspects);
-		});
+		const crashDetector = new CrashDetector(this.#localUpstream, this.#quarantine, clock, this.#createLog('mesh'));
 		this.#meshListener = new MeshListener({
 			localUpstream: this.#localUpstream, quarantine: this.#quarantine, crashDetector,
 			protocol: new DefaultUpstreamProtocol(), clock, log: this.#createLog('mesh'), decisionLog: new DecisionLog(this.#createLog('mesh'), clock), transitDelays: new TransitDelays(),
@@ -160,6 +163,7 @@
 			metrics: new CallMetrics(this.#registry),
 			requestIds: new RequestIds(random),
 			sendClock: new SendClock(clock, random),
+			quarantine: this.#quarantine,
 			burnCounters: this.#burn,
 			clock,
 			random,
@@ -266,8 +270,9 @@
 			countControlBytes: () => this.#transport.counts.bytes,
 			listQuarantined: () => this.#quarantine.quarantined,
 			listCalls: () => this.#burn.list(),
-			onSuspects: suspects => {
-				this.#quarantine.merge(suspects);
+			onCrashRecords: records => {
+				// Nodes of an earlier version don't tell crashes apart.
+				this.#quarantine.merge(records.filter(({crash}) => crash !== ''));
 			},
 			isReady: () => this.#readiness.isReady,
 			onReplaced: () => {
--- a/packages/peers/src/outbox.ts
+++ b/packages/peers/src/outbox.ts
@@ -47,7 +47,7 @@
 		this.#pending.clear();
 		this.#flushing = undefined;
 		try {
-			const reply = await this.#pushTree.sendToAll({versionDelta: noDelta, members, suspects: []});
+			const reply = await this.#pushTree.sendToAll({versionDelta: noDelta, members, crashRecords: []});
 			this.#log.debug(`Reached ${reply.reached} members with ${members.length} changes, ${reply.unreachedCount} not reached`);
 		} catch (error) {
 			this.#log.warn(`Sending membership changes failed: ${describeError(error)}`);
--- a/packages/peers/src/peer-node.ts
+++ b/packages/peers/src/peer-node.ts
@@ -6,8 +6,8 @@
 import {type SnapshotDelta} from '@ebonylead/rules/snapshot-delta.js';
 import {CatchUp} from './catch-up.js';
 import {
-	MemberState, type BeatReply, type BeatRequest, type CensusReply, type CensusRequest, type FetchReply, type FetchRequest, type Member,
-	type ProbeReply, type ProbeRequest, type PushReply, type PushRequest, type Suspect, type SyncReply, type SyncRequest,
+	MemberState, type BeatReply, type BeatRequest, type CensusReply, type CensusRequest, type CrashRecord, type FetchReply, type FetchRequest, type Member,
+	type ProbeReply, type ProbeRequest, type PushReply, type PushRequest, type SyncReply, type SyncRequest,
 } from './generated/peers.js';
 import {Heartbeats, type HeartbeatTimes} from './heartbeats.js';
 import {Membership} from './membership.js';
@@ -33,8 +33,8 @@
 	readonly random: Random;
 	readonly log: Logger;
 
-	/** Called with the suspected requests that other nodes report. */
-	readonly onSuspects: (suspects: readonly Suspect[]) => void;
+	/** Called with the crashes of upstreams that other nodes report. */
+	readonly onCrashRecords: (crashRecords: readonly CrashRecord[]) => void;
 
 	/** Returns whether this node serves calls. */
 	readonly isReady: () => boolean;
@@ -167,9 +167,9 @@
 		await this.#outbox.flush();
 	}
 
-	/** Sends all members the requests that were in flight when an upstream crashed. */
-	async sendSuspects(suspects: readonly Suspect[]): Promise<PushReply> {
-		return this.#pushTree.sendToAll({versionDelta: new Uint8Array(0), members: [], suspects});
+	/** Sends all members the requests that were in flight when an upstream crashed, or that have run without a crash since. */
+	async sendCrashRecords(crashRecords: readonly CrashRecord[]): Promise<PushReply> {
+		return this.#pushTree.sendToAll({versionDelta: new Uint8Array(0), members: [], crashRecords});
 	}
 
 	/**
@@ -178,13 +178,13 @@
 	 */
 	async sendVersion(encoded: EncodedSnapshot, delta: SnapshotDelta): Promise<PushReply> {
 		this.#pendingSnapshot = encoded;
-		return this.#pushTree.sendToAll({versionDelta: encodeDelta(delta), members: [], suspects: []});
+		return this.#pushTree.sendToAll({versionDelta: encodeDelta(delta), members: [], crashRecords: []});
 	}
 
 	/** Like `sendVersion`, but only to this node's data centre. */
 	async sendVersionLocally(encoded: EncodedSnapshot, delta: SnapshotDelta): Promise<PushReply> {
 		this.#pendingSnapshot = encoded;
-		return this.#pushTree.sendToDataCentre({versionDelta: encodeDelta(delta), members: [], suspects: []});
+		return this.#pushTree.sendToDataCentre({versionDelta: encodeDelta(delta), members: [], crashRecords: []});
 	}
 
 	/** Counts the active versions of all members, including this node. */
@@ -200,15 +200,15 @@
 		}
 
 		this.#handleNewRecords(this.membership.merge(request.members, this.#dependencies.clock.now()));
-		if (request.suspects.length > 0) {
-			this.#dependencies.onSuspects(request.suspects);
+		if (request.crashRecords.length > 0) {
+			this.#dependencies.onCrashRecords(request.crashRecords);
 		}
 
 		if (request.range === undefined) {
 			return {reached: 1, unreached: [], unreachedCount: 0};
 		}
 
-		const subtree = await this.#pushTree.sendToRange(request.range, {versionDelta: request.versionDelta, members: request.members, suspects: request.suspects}, request.ancestors);
+		const subtree = await this.#pushTree.sendToRange(request.range, {versionDelta: request.versionDelta, members: request.members, crashRecords: request.crashRecords}, request.ancestors);
 		return {...subtree, reached: subtree.reached + 1};
 	}
 
--- a/packages/peers/src/peers.ts
+++ b/packages/peers/src/peers.ts
@@ -19,7 +19,7 @@
  * within the timeout, which is in milliseconds.
  */
 export type PeerTransport = {
-	/** Sends an accepted version, membership changes or suspected requests to a member, which forwards them to a key range. */
+	/** Sends an accepted version, membership changes or crashes of upstreams to a member, which forwards them to a key range. */
 	push(address: PeerAddress, request: PushRequest, timeout: number): Promise<PushReply>;
 
 	/** Sends a heartbeat, and compares versions and memberships. */
--- a/packages/peers/src/push-tree.ts
+++ b/packages/peers/src/push-tree.ts
@@ -4,7 +4,7 @@
 import {describeError} from '@ebonylead/base/errors.js';
 import {type Logger} from '@ebonylead/base/logs.js';
 import {
-	type CensusReply, type KeyRange, type Member, type PushReply, type RouteCalls, type Suspect,
+	type CensusReply, type CrashRecord, type KeyRange, type Member, type PushReply, type RouteCalls,
 } from './generated/peers.js';
 import {type Membership} from './membership.js';
 import {getAddress, type PeerAddress, type PeerTransport} from './peers.js';
@@ -12,12 +12,12 @@
 	countLevels, buildFullRange, listMembersInRange, rankLeaders, splitRange, type Branch,
 } from './tree.js';
 
-/** Content of a push: a version, members, suspected requests, or several of these. */
+/** Content of a push: a version, members, crashes of upstreams, or several of these. */
 export type PushContent = {
 	/** An encoded `VersionDelta`; empty for none. */
 	readonly versionDelta: Uint8Array;
 	readonly members: readonly Member[];
-	readonly suspects: readonly Suspect[];
+	readonly crashRecords: readonly CrashRecord[];
 };
 
 /** Parameters of a census that this node starts or forwards. */
@@ -124,7 +124,7 @@
 			versionDelta: Buffer.from(content.versionDelta),
 			members: content.members as Member[],
 			ancestors: [...ancestors, selfId],
-			suspects: content.suspects as Suspect[],
+			crashRecords: content.crashRecords as CrashRecord[],
 		};
 		const reply = await this.#sendToLeader('push', branch, async (_, address, timeout) => transport.push(address, request, timeout));
 		if (reply) {
--- a/packages/peers/src/test/peer-node_test.ts
+++ b/packages/peers/src/test/peer-node_test.ts
@@ -97,10 +97,12 @@
 		});
 	});
 
-	it('sends suspected requests to every member', async t => {
+	it('sends crashes of upstreams to every member', async t => {
 		const fleet = await startFleet(20);
-		await fleet.nodes[0]!.peers.sendSuspects([{fingerprint: 'x', crashes: 1}]);
-		t.deepEqual(fleet.nodes.slice(1).map(node => node.suspectFingerprints), Array.from({length: 7}, () => ['x']));
+		await fleet.nodes[0]!.peers.sendCrashRecords([{
+			fingerprint: 'x', crash: 'c', inFlight: 1, age: 0, ranFor: 0, isAcquitted: false,
+		}]);
+		t.deepEqual(fleet.nodes.slice(1).map(node => node.crashFingerprints), Array.from({length: 7}, () => ['x']));
 		fleet.stop();
 	});
 
--- a/packages/stand-ins/src/fake-fleet.ts
+++ b/packages/stand-ins/src/fake-fleet.ts
@@ -24,8 +24,8 @@
 	/** Whether the node would serve calls. */
 	isServing: boolean;
 
-	/** Fingerprints of the suspects that this node received. */
-	readonly suspectFingerprints: string[];
+	/** Fingerprints of the requests in the crash records that this node received. */
+	readonly crashFingerprints: string[];
 };
 
 const firstPort = 1000;
@@ -68,7 +68,7 @@
 			controller: new AbortController(),
 			isReplaced: false,
 			isServing: false,
-			suspectFingerprints: [],
+			crashFingerprints: [],
 			peers: new PeerNode({
 				deployment: 'd',
 				member,
@@ -82,8 +82,8 @@
 				countControlBytes: () => 0,
 				listQuarantined: () => [],
 				listCalls: () => [],
-				onSuspects(suspects) {
-					node.suspectFingerprints.push(...suspects.map(suspect => suspect.fingerprint));
+				onCrashRecords(crashRecords) {
+					node.crashFingerprints.push(...crashRecords.map(({fingerprint}) => fingerprint));
 				},
 				isReady: () => node.isServing,
 				onReplaced() {
--- a/packages/stand-ins/src/mesh-harness.ts
+++ b/packages/stand-ins/src/mesh-harness.ts
@@ -25,7 +25,7 @@
 import {encodeSnapshot} from '@ebonylead/rules/snapshot-codec.js';
 import {CrashDetector} from '@ebonylead/upstreams/crash-detector.js';
 import {MeshListener} from '@ebonylead/upstreams/mesh-listener.js';
-import {Quarantine, type Suspect} from '@ebonylead/upstreams/quarantine.js';
+import {Quarantine} from '@ebonylead/upstreams/quarantine.js';
 import {TransitDelays} from '@ebonylead/upstreams/transit-delays.js';
 import {DefaultUpstreamProtocol} from '@ebonylead/upstreams/upstream-protocol.js';
 import {LocalUpstream} from '@ebonylead/upstreams/local-upstream.js';
@@ -67,9 +67,6 @@
 	/** Whether the entry node knows the active version of the rules. */
 	isReady = true;
 
-	/** Whether each VM's quarantine receives the suspects that other VMs detect. */
-	isSharingSuspects = true;
-
 	/** The active version of the rules at the entry node. */
 	readonly activeVersion = new ActiveVersion();
 	readonly membership = new Membership();
@@ -95,6 +92,7 @@
 			metrics: new CallMetrics(new Registry()),
 			requestIds: new RequestIds(random),
 			sendClock: new SendClock(this.#clock, random),
+			quarantine: new Quarantine(this.#clock),
 			burnCounters: new BurnCounters(this.#clock),
 			clock: this.#clock,
 			random,
@@ -202,9 +200,7 @@
 	}
 
 	#createMeshListener(localUpstream: LocalUpstream, quarantine: Quarantine): MeshListener {
-		const crashDetector = new CrashDetector(localUpstream, quarantine, log, suspects => {
-			this.#shareSuspects(suspects);
-		});
+		const crashDetector = new CrashDetector(localUpstream, quarantine, this.#clock, log);
 		return new MeshListener({
 			localUpstream,
 			quarantine,
@@ -218,14 +214,6 @@
 		});
 	}
 
-	#shareSuspects(suspects: readonly Suspect[]): void {
-		if (this.isSharingSuspects) {
-			for (const vm of this.vms) {
-				vm.quarantine.merge(suspects);
-			}
-		}
-	}
-
 	#buildMember(vm: HarnessVm, service: string, slots: number): Member {
 		return {
 			id: vm.id,
--- /dev/null
+++ b/packages/upstreams/src/call-quarantine.ts
@@ -0,0 +1,75 @@
+/** What the quarantine means for one call, at either hop. */
+import {type Buffer} from 'node:buffer';
+import {type IncomingMessage} from 'node:http';
+import {decodeCrashRecords, encodeCrashRecords} from './crash-record.js';
+import {computeFingerprint} from './fingerprint.js';
+import {quarantineDurationMs, type Quarantine, type QuarantineStatus} from './quarantine.js';
+import {type RequestBody} from './request-body.js';
+import {outcomes, type Refusal} from './upstreams.js';
+
+const statusUnavailable = 503;
+
+/** Computes the fingerprint of a call once, and only if crashes are known or one has happened. */
+export class CallQuarantine {
+	readonly #quarantine: Quarantine;
+	readonly #request: IncomingMessage;
+	readonly #getBody: () => RequestBody;
+	#fingerprint: string | undefined;
+
+	/** @param getBody Returns the body; called once it was read. */
+	constructor(quarantine: Quarantine, request: IncomingMessage, getBody: () => RequestBody) {
+		this.#quarantine = quarantine;
+		this.#request = request;
+		this.#getBody = getBody;
+	}
+
+	get fingerprint(): string {
+		this.#fingerprint ??= this.#computeFingerprint();
+		return this.#fingerprint;
+	}
+
+	get status(): QuarantineStatus {
+		return this.#quarantine.isEmpty ? 'clear' : this.#quarantine.getStatus(this.fingerprint);
+	}
+
+	/** Number of crashes that count against the request. */
+	get crashCount(): number {
+		return this.#quarantine.isEmpty ? 0 : this.#quarantine.countCrashes(this.fingerprint);
+	}
+
+	/** Merges what another node knows of the request, from a header. */
+	merge(text: string | string[] | undefined): void {
+		this.#quarantine.merge(decodeCrashRecords(text));
+	}
+
+	/** Encodes what is known of the request as a header; undefined if nothing counts against it. */
+	encode(): string | undefined {
+		return this.crashCount === 0 ? undefined : encodeCrashRecords(this.#quarantine.listRecords(this.fingerprint));
+	}
+
+	/** Records that the call ran without a crash. */
+	recordSuccess(): void {
+		if (!this.#quarantine.isEmpty) {
+			this.#quarantine.recordSuccess(this.fingerprint);
+		}
+	}
+
+	/** Builds the refusal of a quarantined request, with the evidence. */
+	buildRefusal(): Refusal {
+		return {
+			status: statusUnavailable,
+			outcome: outcomes.notRun,
+			reason: `quarantined: ${this.crashCount} upstreams crashed while this request was in flight (fingerprint ${this.fingerprint})`,
+			retryAfter: quarantineDurationMs,
+		};
+	}
+
+	#computeFingerprint(): string {
+		const {method = 'GET', url = '/', headers} = this.#request;
+		const body = this.#getBody();
+		const length = Number(headers['content-length'] ?? 0);
+		return computeFingerprint({
+			method, host: headers.host ?? '', url, body: body === undefined || body === this.#request ? length : body as Buffer,
+		});
+	}
+}
--- a/packages/upstreams/src/crash-detector.ts
+++ b/packages/upstreams/src/crash-detector.ts
@@ -1,32 +1,37 @@
 /** Distinguishes a crash of the upstream from the loss of a single connection. */
+import {type Clock} from '@ebonylead/base/base.js';
 import {type Logger} from '@ebonylead/base/logs.js';
 import {isConnectionRefused} from './connection-probe.js';
-import {type Quarantine, type Suspect} from './quarantine.js';
+import {computeKey} from './fingerprint.js';
 import {type LocalUpstream} from './local-upstream.js';
+import {type Quarantine} from './quarantine.js';
 
 /** A call that was forwarded to the upstream and has not ended. */
 export type InFlightCall = {
+	/** Monotonic time in milliseconds. */
+	readonly startedAt: number;
+
 	/** Computes the fingerprint on demand, as most calls never need it. */
 	readonly computeFingerprint: () => string;
 };
 
-/** Tracks the calls in flight, and reports them as suspects when the upstream crashes. */
+/** Maximum number of fingerprints in a log line. */
+const maxLoggedFingerprints = 5;
+
+/** Tracks the calls in flight, and records them in the quarantine when the upstream crashes. */
 export class CrashDetector {
 	readonly #localUpstream: LocalUpstream;
 	readonly #quarantine: Quarantine;
-	readonly #onSuspects: (suspects: readonly Suspect[]) => void;
+	readonly #clock: Clock;
 	readonly #log: Logger;
 	readonly #calls = new Set<InFlightCall>();
 	#pendingProbe: Promise<boolean> | undefined;
 
-	/**
-	 * @param onSuspects Called with the suspects to announce to other nodes.
-	 */
-	constructor(localUpstream: LocalUpstream, quarantine: Quarantine, log: Logger, onSuspects: (suspects: readonly Suspect[]) => void) {
+	constructor(localUpstream: LocalUpstream, quarantine: Quarantine, clock: Clock, log: Logger) {
 		this.#localUpstream = localUpstream;
 		this.#quarantine = quarantine;
+		this.#clock = clock;
 		this.#log = log;
-		this.#onSuspects = onSuspects;
 	}
 
 	/** Adds a call that is about to be sent to the upstream. */
@@ -41,7 +46,7 @@
 
 	/**
 	 * Handles the loss of a call's connection: if the upstream refuses a new
-	 * connection, it has crashed, and all calls in flight become suspects.
+	 * connection, it has ended, and unless it was leaving, it has crashed.
 	 *
 	 * @returns Whether the upstream crashed.
 	 */
@@ -52,17 +57,36 @@
 	}
 
 	async #probe(): Promise<boolean> {
-		const calls = [...this.#calls];
-		const hasCrashed = await isConnectionRefused(this.#localUpstream.origin);
+		const {origin, incarnation, hasLeft} = this.#localUpstream;
+		const lostAt = this.#clock.now();
+		const runs = this.#listRuns(lostAt);
+		const hasEnded = await isConnectionRefused(origin);
 		this.#pendingProbe = undefined;
-		if (!hasCrashed) {
+		if (!hasEnded) {
 			return false;
 		}
 
-		const suspects = this.#quarantine.recordCrash(calls.map(call => call.computeFingerprint()));
-		this.#log.warn(`The upstream crashed with ${calls.length} calls in flight; suspects: ${suspects.map(suspect => suspect.fingerprint).slice(0, 5).join(', ')}`);
+		if (!hasLeft) {
+			// Without an identity of the upstream process, the time tells two crashes apart.
+			const crash = computeKey(`${origin} ${incarnation === '' ? this.#clock.wallTime() : incarnation}`);
+			this.#log.warn({
+				instance: this.#localUpstream.instance, crash, inFlight: runs.size, fingerprints: [...runs.keys()].slice(0, maxLoggedFingerprints),
+			}, 'The upstream crashed');
+			this.#quarantine.recordCrash(crash, runs);
+		}
+
 		this.#localUpstream.handleConnectionRefused();
-		this.#onSuspects(suspects);
-		return true;
+		return !hasLeft;
+	}
+
+	/** Lists for how long each request in flight has run; of equal ones the shortest time counts, as the last one started may be the cause. */
+	#listRuns(now: number): ReadonlyMap<string, number> {
+		const runs = new Map<string, number>();
+		for (const {startedAt, computeFingerprint} of this.#calls) {
+			const fingerprint = computeFingerprint();
+			runs.set(fingerprint, Math.min(runs.get(fingerprint) ?? Number.POSITIVE_INFINITY, now - startedAt));
+		}
+
+		return runs;
 	}
 }
--- a/packages/upstreams/src/fingerprint.ts
+++ b/packages/upstreams/src/fingerprint.ts
@@ -1,17 +1,27 @@
-/** Identifies equal requests by method, URL and body, regardless of sender and time. */
+/** Identifies equal requests by method, host, URL and body, regardless of sender and time. */
 import {type Buffer} from 'node:buffer';
 import {hashText} from '@ebonylead/base/hash.js';
 
 const secondHashSeed = 0x5A_5A;
 const radix = 36;
 
-/**
- * Returns the fingerprint of a request.
- *
- * @param body The body if it was buffered, or its length if it was too large for that.
- */
-export function computeFingerprint(method: string, url: string, body: Buffer | number): string {
+/** What identifies a request. */
+export type RequestIdentity = {
+	readonly method: string;
+	readonly host: string;
+	readonly url: string;
+
+	/** The body if it was buffered, or its length if it was too large for that. */
+	readonly body: Buffer | number;
+};
+
+/** Computes the fingerprint of a request. */
+export function computeFingerprint({method, host, url, body}: RequestIdentity): string {
 	const bodyText = typeof body === 'number' ? `length ${body}` : body.toString('latin1');
-	const text = `${method} ${url}\n${bodyText}`;
+	return computeKey(`${method} ${host.toLowerCase()}${url}\n${bodyText}`);
+}
+
+/** Computes a short key of a text, which is the same on every node. */
+export function computeKey(text: string): string {
 	return `${hashText(text).toString(radix)}-${hashText(text, secondHashSeed).toString(radix)}`;
 }
--- a/packages/upstreams/src/mesh-call.ts
+++ b/packages/upstreams/src/mesh-call.ts
@@ -1,20 +1,18 @@
 /** One call at the sidecar, from its arrival to its end. */
-import {type Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {describeError} from '@ebonylead/base/errors.js';
 import {type AttemptRegistry, type RegisteredAttempt} from './attempt-registry.js';
 import {AttemptTimes} from './attempt-times.js';
+import {CallQuarantine} from './call-quarantine.js';
 import {Cancellation} from './cancellation.js';
 import {isClientConnected} from './client-presence.js';
 import {type InFlightCall} from './crash-detector.js';
-import {computeFingerprint} from './fingerprint.js';
 import {
 	copyRequestHeaders, forwardRequest, type ForwardResult, type ResponseHeaders,
 } from './forward.js';
 import {type MeshListenerDependencies} from './mesh-listener.js';
-import {quarantineDurationMs, type QuarantineStatus} from './quarantine.js';
 import {sendRefusal} from './refusals.js';
-import {readBody, type RequestBody} from './request-body.js';
+import {readBodyOrCancel, type RequestBody} from './request-body.js';
 import {readPositiveInteger, readHeader, readNonNegativeInteger} from './request-headers.js';
 import {decodeNotice, encodeNotice} from './upstream-notice.js';
 import {type ResponseValidation} from './upstream-protocol.js';
@@ -46,8 +44,8 @@
 	readonly #attemptId: string | undefined;
 	readonly #times: AttemptTimes;
 	#attempt: RegisteredAttempt | undefined;
+	readonly #quarantine: CallQuarantine;
 	#body: RequestBody;
-	#crashCount = 0;
 
 	constructor(dependencies: MeshListenerDependencies, attempts: AttemptRegistry, request: IncomingMessage, response: ServerResponse) {
 		this.#dependencies = dependencies;
@@ -56,6 +54,7 @@
 		this.#response = response;
 		this.#attemptId = readHeader(request, meshHeaders.attemptId);
 		this.#times = new AttemptTimes(request, dependencies.clock, dependencies.transitDelays);
+		this.#quarantine = new CallQuarantine(dependencies.quarantine, request, () => this.#body);
 	}
 
 	/** Handles the call until its response or refusal is sent, or the call is cancelled. */
@@ -120,21 +119,14 @@
 			return;
 		}
 
-		await this.#readBody();
+		this.#body = await readBodyOrCancel(this.#request, this.#cancellation);
 		if (!await isClientConnected(this.#request)) {
 			this.#cancellation.cancel(new Error('the entry node closed its connection before the call was admitted'));
 		}
 
-		const quarantineStatus = this.#readQuarantineStatus();
-		if (quarantineStatus === 'quarantined') {
-			this.#crashCount = this.#dependencies.quarantine.countCrashes(this.#computeFingerprint());
-			this.#refuse({
-				status: statusUnavailable,
-				outcome: outcomes.notRun,
-				cause: refusalCauses.quarantined,
-				reason: 'quarantined: upstreams died while this request was in flight',
-				retryAfter: quarantineDurationMs,
-			});
+		this.#quarantine.merge(this.#request.headers[meshHeaders.crashes]);
+		if (this.#quarantine.status === 'quarantined') {
+			this.#refuse({...this.#quarantine.buildRefusal(), cause: refusalCauses.quarantined});
 			return;
 		}
 
@@ -146,7 +138,7 @@
 			priority: readNonNegativeInteger(this.#request, meshHeaders.priority) ?? defaultPriority,
 			route: readHeader(this.#request, meshHeaders.route) ?? '',
 			routeSlots: readPositiveInteger(this.#request, meshHeaders.routeSlots),
-			isExclusive: quarantineStatus === 'suspect',
+			isExclusive: this.#quarantine.status === 'suspect',
 			cancellation: this.#cancellation,
 		});
 		if (admission.kind === 'refused') {
@@ -157,7 +149,7 @@
 		this.#attempt?.setRunning();
 		try {
 			await this.#checkAfterWait(admittedFrom);
-			await this.#runAdmitted(quarantineStatus);
+			await this.#runAdmitted();
 		} finally {
 			admission.release();
 		}
@@ -189,25 +181,20 @@
 		}
 	}
 
-	/** Returns the quarantine status of the request, after merging the crash count that the entry node learned from earlier attempts. */
-	#readQuarantineStatus(): QuarantineStatus {
-		const {quarantine} = this.#dependencies;
-		const crashes = readPositiveInteger(this.#request, meshHeaders.suspect);
-		if (crashes !== undefined) {
-			quarantine.merge([{fingerprint: this.#computeFingerprint(), crashes}]);
+	async #runAdmitted(): Promise<void> {
+		const {crashDetector, clock} = this.#dependencies;
+		// It may have been quarantined while it waited.
+		if (this.#quarantine.status === 'quarantined') {
+			this.#refuse({...this.#quarantine.buildRefusal(), cause: refusalCauses.quarantined});
+			return;
 		}
 
-		return quarantine.isEmpty ? 'clear' : quarantine.getStatus(this.#computeFingerprint());
-	}
-
-	async #runAdmitted(quarantineStatus: QuarantineStatus): Promise<void> {
-		const {crashDetector, quarantine} = this.#dependencies;
-		const call: InFlightCall = {computeFingerprint: () => this.#computeFingerprint()};
+		const call: InFlightCall = {startedAt: clock.now(), computeFingerprint: () => this.#quarantine.fingerprint};
 		crashDetector.add(call);
 		try {
 			const result = await this.#forward();
-			if (result.kind === 'answered' && quarantineStatus === 'suspect') {
-				quarantine.recordSuccess(this.#computeFingerprint());
+			if (result.kind === 'answered') {
+				this.#quarantine.recordSuccess();
 			}
 
 			await this.#handleResult(result);
@@ -326,7 +313,7 @@
 
 			case 'cut': {
 				log.warn(`Response from upstream ${localUpstream.origin} was cut off: ${describeError(result.error)}`);
-				await this.#handleLostConnection();
+				await this.#dependencies.crashDetector.handleLostConnection();
 			}
 		}
 	}
@@ -339,41 +326,21 @@
 			return;
 		}
 
-		await this.#handleLostConnection();
+		await this.#dependencies.crashDetector.handleLostConnection();
 		this.#refuse({
 			status: statusBadGateway, outcome: outcomes.unknown, cause: refusalCauses.unanswered, reason: `the upstream did not answer: ${describeError(error)}`,
 		});
 	}
 
-	async #handleLostConnection(): Promise<void> {
-		const {crashDetector, quarantine} = this.#dependencies;
-		if (await crashDetector.handleLostConnection()) {
-			this.#crashCount = quarantine.countCrashes(this.#computeFingerprint());
-		}
-	}
-
-	async #readBody(): Promise<void> {
-		try {
-			this.#body = await readBody(this.#request, this.#cancellation);
-		} catch (error) {
-			this.#cancellation.cancel(error as Error);
-		}
-	}
-
-	#computeFingerprint(): string {
-		const length = Number(this.#request.headers['content-length'] ?? 0);
-		const body = this.#body === undefined || this.#body === this.#request ? length : this.#body as Buffer;
-		return computeFingerprint(this.#request.method ?? 'GET', this.#request.url ?? '/', body);
-	}
-
 	#refuse(refusal: SidecarRefusal): void {
 		if (!this.#response.headersSent && !this.#response.destroyed) {
 			for (const [name, value] of Object.entries(this.#buildStateHeaders())) {
 				this.#response.setHeader(name, value);
 			}
 
-			if (this.#crashCount > 0) {
-				this.#response.setHeader(meshHeaders.suspect, String(this.#crashCount));
+			const crashes = this.#quarantine.encode();
+			if (crashes !== undefined) {
+				this.#response.setHeader(meshHeaders.crashes, crashes);
 			}
 		}
 
--- a/packages/upstreams/src/mesh-listener.ts
+++ b/packages/upstreams/src/mesh-listener.ts
@@ -6,6 +6,7 @@
 import {type AddressInfo} from 'node:net';
 import {gzipSync} from 'node:zlib';
 import {type Clock} from '@ebonylead/base/base.js';
+import {readBoundedText} from '@ebonylead/base/bounded-text.js';
 import {type DecisionLog} from '@ebonylead/base/decision-log.js';
 import {type Logger} from '@ebonylead/base/logs.js';
 import {listenOn} from '@ebonylead/base/listening.js';
@@ -46,6 +47,12 @@
 	/** Sends the versions and rows of this node to the output until it closes, from the position in the parameters; undefined where feeds are not served. */
 	readonly openFeed?: (output: ServerResponse, parameters: URLSearchParams) => void;
 
+	/** Merges the crashes that another node knows of, and returns those of this node; undefined where nodes don't exchange them so. */
+	readonly exchangeCrashes?: (text: string) => string;
+
+	/** Called with the digest of the crashes that the sender of a call knows of, and the origin of that node. */
+	readonly onCrashDigest?: (digest: string, origin: string) => void;
+
 	/** Returns the active version of the rules on this node. */
 	readonly getVersion?: () => number;
 
@@ -63,6 +70,12 @@
 /** Path of state requests between nodes. */
 export const statePath = '/x-ebonylead/state';
 
+/** Path of exchanges of known crashes between nodes. */
+export const crashPath = '/x-ebonylead/crashes';
+
+/** Maximum size of what a node knows of crashes in bytes. */
+export const maxCrashBytes = 256 * 1024;
+
 /** Path of feeds between nodes. */
 export const feedPath = '/x-ebonylead/feed';
 
@@ -141,12 +154,18 @@
 			return;
 		}
 
+		if (service === undefined && request.url === crashPath && this.#dependencies.exchangeCrashes) {
+			const known = this.#dependencies.exchangeCrashes(await readBoundedText(request, maxCrashBytes, 'another node'));
+			sendText(response, statusOk, known);
+			return;
+		}
+
 		if (service === attemptProbeService && request.url?.startsWith(attemptProbePath)) {
 			this.#handleAttemptProbe(request.url, response);
 			return;
 		}
 
-		this.#syncVersions(request, response);
+		this.#syncWithEntryNode(request, response);
 		this.#inFlightCount++;
 		try {
 			await new MeshCall(this.#dependencies, this.#attempts, request, response).run();
@@ -191,15 +210,24 @@
 		sendJson(response, statusOk, states);
 	}
 
-	/** Exchanges the active versions with the entry node on each call, so that a node without access to the store still learns of later versions. */
-	#syncVersions(request: IncomingMessage, response: ServerResponse): void {
-		const {getVersion, onVersion} = this.#dependencies;
+	/** Exchanges the active versions and the digests of known crashes with the entry node on each call, so that a node that missed one learns of it from any other. */
+	#syncWithEntryNode(request: IncomingMessage, response: ServerResponse): void {
+		const {getVersion, onVersion, onCrashDigest, quarantine} = this.#dependencies;
 		const version = readNonNegativeInteger(request, meshHeaders.version);
 		const origin = readHeader(request, meshHeaders.origin);
 		if (version !== undefined && origin !== undefined) {
 			onVersion?.(version, origin);
 		}
 
+		if (origin !== undefined) {
+			onCrashDigest?.(readHeader(request, meshHeaders.crashDigest) ?? '', origin);
+		}
+
+		const {digest} = quarantine;
+		if (digest !== '') {
+			response.setHeader(meshHeaders.crashDigest, digest);
+		}
+
 		if (getVersion) {
 			response.setHeader(meshHeaders.version, String(getVersion()));
 		}
@@ -214,6 +242,9 @@
 }
 
 function sendJson(response: ServerResponse, status: number, value: unknown): void {
-	const body = JSON.stringify(value);
-	response.writeHead(status, {'content-type': 'application/json', 'content-length': Buffer.byteLength(body)}).end(body);
+	sendText(response, status, JSON.stringify(value));
+}
+
+function sendText(response: ServerResponse, status: number, text: string): void {
+	response.writeHead(status, {'content-type': 'application/json', 'content-length': Buffer.byteLength(text)}).end(text);
 }
--- a/packages/upstreams/src/quarantine.ts
+++ b/packages/upstreams/src/quarantine.ts
@@ -1,111 +1,269 @@
-/** Tracks requests that were in flight when an upstream crashed. */
+/** Finds requests that crash upstreams, from the crashes that all nodes have seen. */
 import {type Clock} from '@ebonylead/base/base.js';
-
-/** A suspect request, in the form in which nodes exchange it. */
-export type Suspect = {
-	readonly fingerprint: string;
-
-	/** Number of upstream crashes at which the request was in flight. */
-	readonly crashes: number;
-};
+import {hashText} from '@ebonylead/base/hash.js';
+import {type Logger} from '@ebonylead/base/logs.js';
+import {countCrashes, type Crash} from './crash-count.js';
+import {type CrashRecord} from './crash-record.js';
 
 /** Whether a request runs normally (`clear`), runs while no other call does (`suspect`), or is refused (`quarantined`). */
 export type QuarantineStatus = 'clear' | 'suspect' | 'quarantined';
 
+/** A request that is not clear, for operators. */
+export type QuarantinedRequest = {
+	readonly fingerprint: string;
+	readonly status: QuarantineStatus;
+	readonly crashes: readonly CrashRecord[];
+};
+
 /** Number of crashes from which on a request is refused. */
-const quarantineCrashCount = 2;
+const maxCrashes = 3;
+
+/** Number of crashes from which on a request is refused, if it was the only one in flight at each of them. */
+const maxLoneCrashes = 2;
 
-/** Time in milliseconds after its last change at which a suspect expires. */
+/** Time in milliseconds after which a crash no longer counts. */
 export const quarantineDurationMs = 10 * 60 * 1000;
 
-/** Maximum number of suspects; the oldest are removed first. */
-const maxSuspects = 10_000;
+/** Maximum number of requests; those that were added first are removed first. */
+const maxRequests = 10_000;
 
-type SuspectEntry = {
-	readonly crashes: number;
-	readonly changedAt: number;
-};
+/** Maximum number of crashes of one request that are kept: more than it takes to refuse it. Those with the least identifiers are, so that all nodes keep the same. */
+const maxCrashesPerRequest = 16;
+
+/** Where a change of what is known comes from. */
+export const crashSources = {
+	/** This node saw a crash, or a run without one. */
+	local: 'this node',
+	peer: 'another node',
+	operator: 'an operator',
+} as const;
+
+/** One of `crashSources`. */
+export type CrashSource = typeof crashSources[keyof typeof crashSources];
+
+/** Called with records that this node did not know. */
+export type CrashListener = (records: readonly CrashRecord[], source: CrashSource) => void;
 
-/** The suspects known in the fleet, each with the highest crash count that was recorded or reported. */
+/**
+ * The crashes known in the fleet, by the requests that were in flight.
+ *
+ * Each crash counts once, and a run without a crash acquits a request of all
+ * crashes that were known by then. Both only add to what is known, so that nodes
+ * come to the same set in whatever order they learn of them.
+ */
 export class Quarantine {
-	readonly #entries = new Map<string, SuspectEntry>();
+	readonly #requests = new Map<string, Map<string, Crash>>();
 	readonly #clock: Clock;
+	readonly #log: Logger | undefined;
+	readonly #onChange: CrashListener;
 
-	constructor(clock: Clock) {
+	/** Number of crashes that count against a request. */
+	#openCount = 0;
+
+	/** Combination of the hashes of all records; it does not depend on their order. */
+	#digest = 0;
+	#expireAt = Number.POSITIVE_INFINITY;
+
+	constructor(clock: Clock, log?: Logger, onChange: CrashListener = () => undefined) {
 		this.#clock = clock;
+		this.#log = log;
+		this.#onChange = onChange;
 	}
 
-	/** Whether there is no suspect, as most of the time, so that no fingerprint has to be computed. */
+	/** Whether no crash counts against any request, as most of the time, so that no fingerprint has to be computed. */
 	get isEmpty(): boolean {
-		return this.#entries.size === 0;
+		this.#removeExpired();
+		return this.#openCount === 0;
+	}
+
+	/** Differs between two nodes that know of different records; empty if none is known. */
+	get digest(): string {
+		this.#removeExpired();
+		return this.#requests.size === 0 ? '' : this.#digest.toString(36);
 	}
 
 	/** Fingerprints of the quarantined requests. */
 	get quarantined(): string[] {
-		return [...this.#entries].filter(([, entry]) => entry.crashes >= quarantineCrashCount).map(([fingerprint]) => fingerprint);
+		return this.listRequests().filter(({status}) => status === 'quarantined').map(({fingerprint}) => fingerprint);
+	}
+
+	/** Lists the requests that crashes count against. */
+	listRequests(): QuarantinedRequest[] {
+		this.#removeExpired();
+		return [...this.#requests.keys()]
+			.map(fingerprint => ({fingerprint, status: this.getStatus(fingerprint), crashes: this.listRecords(fingerprint).filter(({isAcquitted}) => !isAcquitted)}))
+			.filter(({crashes}) => crashes.length > 0);
 	}
 
-	/** Returns the number of upstream crashes at which a request was in flight. */
+	/** Returns the number of crashes that count against a request. */
 	countCrashes(fingerprint: string): number {
-		return this.#entries.get(fingerprint)?.crashes ?? 0;
+		this.#removeExpired();
+		return this.#count(fingerprint).all;
 	}
 
-	/** Returns the status of a request, and removes its entry if it has expired. */
 	getStatus(fingerprint: string): QuarantineStatus {
-		const entry = this.#entries.get(fingerprint);
-		if (entry === undefined) {
-			return 'clear';
+		this.#removeExpired();
+		const {all, lone} = this.#count(fingerprint);
+		if (all >= maxCrashes || lone >= maxLoneCrashes) {
+			return 'quarantined';
 		}
 
-		if (this.#clock.now() - entry.changedAt > quarantineDurationMs) {
-			this.#entries.delete(fingerprint);
-			return 'clear';
-		}
+		return all >= maxCrashes - 1 || lone > 0 ? 'suspect' : 'clear';
+	}
 
-		return entry.crashes >= quarantineCrashCount ? 'quarantined' : 'suspect';
+	/** Lists all records, or those of one request. */
+	listRecords(fingerprint?: string): CrashRecord[] {
+		this.#removeExpired();
+		const now = this.#clock.now();
+		const fingerprints = fingerprint === undefined ? [...this.#requests.keys()] : [fingerprint];
+		return fingerprints.flatMap(key => Array.from(this.#requests.get(key) ?? [], ([crash, {crashedAt, ...values}]) => ({
+			fingerprint: key, crash, ...values, age: now - crashedAt,
+		})));
 	}
 
 	/**
 	 * Records that an upstream crashed while requests were in flight.
 	 *
-	 * @returns The suspects to announce to other nodes.
+	 * @param crash Identifies the crash.
+	 * @param runs Milliseconds for which the requests had run, by their fingerprints.
 	 */
-	recordCrash(fingerprints: readonly string[]): Suspect[] {
-		const suspects = [...new Set(fingerprints)].map(fingerprint => ({fingerprint, crashes: (this.#entries.get(fingerprint)?.crashes ?? 0) + 1}));
-		this.merge(suspects);
-		return suspects;
+	recordCrash(crash: string, runs: ReadonlyMap<string, number>): void {
+		this.#apply(Array.from(runs, ([fingerprint, ranFor]) => ({
+			fingerprint, crash, inFlight: runs.size, age: 0, ranFor, isAcquitted: false,
+		})), crashSources.local);
 	}
 
-	/** Clears a suspect that ran alone without a crash; a quarantined request stays quarantined. */
+	/** Records that a request ran without a crash. */
 	recordSuccess(fingerprint: string): void {
-		if (this.getStatus(fingerprint) === 'suspect') {
-			this.#entries.delete(fingerprint);
+		this.#acquit(fingerprint, crashSources.local);
+	}
+
+	/** Makes a request run again; returns whether crashes counted against it. */
+	lift(fingerprint: string): boolean {
+		return this.#acquit(fingerprint, crashSources.operator);
+	}
+
+	/** Merges records of another node. */
+	merge(records: readonly CrashRecord[]): void {
+		if (records.length > 0) {
+			this.#apply(records, crashSources.peer);
 		}
 	}
 
-	/**
-	 * Merges suspects that another node reported.
-	 *
-	 * @returns The suspects that were new, or whose crash count was raised.
-	 */
-	merge(suspects: readonly Suspect[]): Suspect[] {
-		const raised = suspects.filter(suspect => suspect.crashes > (this.#entries.get(suspect.fingerprint)?.crashes ?? 0));
-		for (const {fingerprint, crashes} of raised) {
-			this.#entries.delete(fingerprint);
-			this.#entries.set(fingerprint, {crashes, changedAt: this.#clock.now()});
+	#acquit(fingerprint: string, source: CrashSource): boolean {
+		const open = this.listRecords(fingerprint).filter(({isAcquitted}) => !isAcquitted);
+		this.#apply(open.map(record => ({...record, isAcquitted: true})), source);
+		return open.length > 0;
+	}
+
+	#apply(records: readonly CrashRecord[], source: CrashSource): void {
+		const before = new Map(records.map(({fingerprint}) => [fingerprint, this.getStatus(fingerprint)]));
+		const changed = records.filter(record => this.#add(record));
+		if (changed.length === 0) {
+			return;
 		}
 
-		this.#removeOldest();
-		return raised;
+		for (const [fingerprint, status] of before) {
+			this.#recordStatus(fingerprint, status, source);
+		}
+
+		this.#onChange(changed, source);
+	}
+
+	/** Adds a record; returns false if it tells nothing new. */
+	#add(record: CrashRecord): boolean {
+		const {fingerprint, crash, age, inFlight, ranFor, isAcquitted} = record;
+		const crashes = this.#requests.get(fingerprint) ?? new Map<string, Crash>();
+		const known = crashes.get(crash);
+		const isNews = known === undefined
+			? crashes.size < maxCrashesPerRequest || crash < findGreatest(crashes.keys())
+			: isAcquitted && !known.isAcquitted;
+		if (!isNews || age >= quarantineDurationMs) {
+			return false;
+		}
+
+		if (known === undefined && crashes.size >= maxCrashesPerRequest) {
+			this.#remove(fingerprint, findGreatest(crashes.keys()));
+		}
+
+		this.#requests.set(fingerprint, crashes);
+		const crashedAt = known?.crashedAt ?? this.#clock.now() - age;
+		this.#updateDigest(fingerprint, crash, known);
+		const added = {
+			crashedAt, inFlight, ranFor, isAcquitted,
+		};
+		crashes.set(crash, added);
+		this.#updateDigest(fingerprint, crash, added);
+		this.#openCount += (isAcquitted ? 0 : 1) - (known && !known.isAcquitted ? 1 : 0);
+		this.#expireAt = Math.min(this.#expireAt, crashedAt + quarantineDurationMs);
+		this.#removeFirst();
+		return true;
+	}
+
+	#count(fingerprint: string): ReturnType<typeof countCrashes> {
+		return countCrashes([...this.#requests.get(fingerprint)?.values() ?? []]);
+	}
+
+	#recordStatus(fingerprint: string, before: QuarantineStatus, source: CrashSource): void {
+		const status = this.getStatus(fingerprint);
+		if (status !== before) {
+			this.#log?.warn({
+				fingerprint, status, before, source, crashes: this.listRecords(fingerprint).map(({crash, inFlight, age, isAcquitted}) => ({
+					crash, inFlight, age: Math.round(age), isAcquitted,
+				})),
+			}, 'The quarantine status of a request changed');
+		}
+	}
+
+	/** Adds a record to the digest, or takes it out of it. */
+	#updateDigest(fingerprint: string, crash: string, value: Crash | undefined): void {
+		if (value) {
+			this.#digest = (this.#digest ^ hashText(`${fingerprint} ${crash} ${value.isAcquitted}`)) >>> 0;
+		}
 	}
 
-	#removeOldest(): void {
-		for (const fingerprint of this.#entries.keys()) {
-			if (this.#entries.size <= maxSuspects) {
+	#remove(fingerprint: string, crash: string): void {
+		const crashes = this.#requests.get(fingerprint)!;
+		const value = crashes.get(crash)!;
+		this.#updateDigest(fingerprint, crash, value);
+		this.#openCount -= value.isAcquitted ? 0 : 1;
+		crashes.delete(crash);
+		if (crashes.size === 0) {
+			this.#requests.delete(fingerprint);
+		}
+	}
+
+	#removeFirst(): void {
+		for (const [fingerprint, crashes] of this.#requests) {
+			if (this.#requests.size <= maxRequests) {
 				return;
 			}
 
-			this.#entries.delete(fingerprint);
+			for (const crash of crashes.keys()) {
+				this.#remove(fingerprint, crash);
+			}
+		}
+	}
+
+	#removeExpired(): void {
+		const now = this.#clock.now();
+		if (this.#expireAt > now) {
+			return;
+		}
+
+		this.#expireAt = Number.POSITIVE_INFINITY;
+		for (const [fingerprint, crashes] of this.#requests) {
+			for (const [crash, {crashedAt}] of crashes) {
+				if (crashedAt + quarantineDurationMs <= now) {
+					this.#remove(fingerprint, crash);
+				} else {
+					this.#expireAt = Math.min(this.#expireAt, crashedAt + quarantineDurationMs);
+				}
+			}
 		}
 	}
 }
+
+function findGreatest(keys: Iterable<string>): string {
+	return [...keys].toSorted().at(-1)!;
+}
--- a/packages/upstreams/src/request-body.ts
+++ b/packages/upstreams/src/request-body.ts
@@ -10,6 +10,16 @@
 /** A request body: buffered bytes, the incoming request to stream from, or undefined for none. */
 export type RequestBody = Buffer | IncomingMessage | undefined;
 
+/** Reads a body like `readBody`; cancels the call if it does not come whole. */
+export async function readBodyOrCancel(request: IncomingMessage, cancellation: Cancellation): Promise<RequestBody> {
+	try {
+		return await readBody(request, cancellation);
+	} catch (error) {
+		cancellation.cancel(error as Error);
+		return undefined;
+	}
+}
+
 /**
  * Reads a small body into a buffer. For a large body it returns the request,
  * from which the whole body can still be streamed.
--- a/packages/upstreams/src/upstream-metrics.ts
+++ b/packages/upstreams/src/upstream-metrics.ts
@@ -1,6 +1,7 @@
 /** Prometheus metrics of the local upstream. */
 import {Gauge, type Registry} from 'prom-client';
 import {type LocalUpstream} from './local-upstream.js';
+import {type Quarantine, type QuarantineStatus} from './quarantine.js';
 
 /** Registers gauges that read the state of the local upstream when they are collected. */
 export function registerUpstreamMetrics(registry: Registry, localUpstream: LocalUpstream): void {
@@ -11,6 +12,13 @@
 	registerGauge(registry, 'ebonylead_upstream_leaving', '1 where the upstream beside the node leaves or has left.', () => Number(localUpstream.hasLeft));
 }
 
+/** Registers the gauges of the requests that crash upstreams. */
+export function registerQuarantineMetrics(registry: Registry, quarantine: Quarantine): void {
+	const countStatus = (status: QuarantineStatus) => quarantine.listRequests().filter(request => request.status === status).length;
+	registerGauge(registry, 'ebonylead_quarantined_requests', 'Requests that are refused because they crash upstreams.', () => countStatus('quarantined'));
+	registerGauge(registry, 'ebonylead_suspected_requests', 'Requests that run alone because they may crash upstreams.', () => countStatus('suspect'));
+}
+
 /** Registers a gauge that reads its value when it is collected. */
 export function registerGauge(registry: Registry, name: string, help: string, read: () => number): void {
 	const gauge = new Gauge({
--- a/packages/upstreams/src/upstreams.ts
+++ b/packages/upstreams/src/upstreams.ts
@@ -59,8 +59,11 @@
 	/** Running and queued calls per slot of the upstream. */
 	load: 'x-ebonylead-load',
 
-	/** Number of upstream crashes at which the call was in flight. */
-	suspect: 'x-ebonylead-suspect',
+	/** What the sender knows of the crashes at which an equal request was in flight. */
+	crashes: 'x-ebonylead-crashes',
+
+	/** Digest of all crashes that the sender knows of; absent if it knows of none. */
+	crashDigest: 'x-ebonylead-crash-digest',
 
 	/** What the upstream says of itself, on responses of its sidecar; what the entry node knows of it, on attempts. */
 	notice: 'x-ebonylead-notice',
