Let a soak send crashing requests, leave early and slow nodes down

The ledger checks what upstreams get: at most two runs of one request, few arrivals and little work 500 ms after a caller has left, and at most three arrivals of a request from 3 s after its third crash. Four new tests show that each check fails where it should.

--- a/packages/bench/src/soak-ledger.ts
+++ b/packages/bench/src/soak-ledger.ts
@@ -17,7 +17,8 @@
 	= | 'answered' // By an upstream, completely.
 		| 'refused' // With a status that promises that no upstream runs it.
 		| 'failed' // With another status of the node's own.
-		| 'closed'; // Without a complete response.
+		| 'closed' // Without a complete response.
+		| 'left'; // By its caller, which closed the connection.
 
 /** Times between which something disturbed the fleet. */
 type Disturbance = {readonly from: number; to: number};
@@ -26,6 +27,16 @@
 	readonly sentAt: number;
 	runCount: number;
 	end?: RequestEnd;
+
+	/** Time at which its caller closed the connection. */
+	leftAt?: number;
+};
+
+/** The crashes that one request caused, and the arrivals after which it should have been refused. */
+type CrashingRequest = {
+	crashCount: number;
+	lastAllowedAt: number;
+	lateArrivals: number;
 };
 
 /** What a process showed of its version. */
@@ -49,6 +60,18 @@
 /** Time after a process passed a limit or a leave on from which it binds the process. */
 const noticeMs = 500;
 
+/** Number of upstreams that may run a request, by the routes of a soak. */
+const maxAttempts = 2;
+
+/** Number of upstreams that a request may crash, and the time after which every node must refuse it, but for a few arrivals. */
+const maxCrashes = 3;
+const crashSpreadMs = 3000;
+const crashSlack = 3;
+
+/** Time after its caller has left within which a request may reach an upstream and be at work there, and the number of requests that may be later. */
+const departureMs = 500;
+const departureSlack = 3;
+
 /** Time after a fault of a process for which it excuses requests that end. */
 const faultExcuseMs = 3000;
 
@@ -71,7 +94,7 @@
 
 	/** Number of requests by their end. */
 	readonly counts: Record<RequestEnd | 'sent', number> = {
-		sent: 0, answered: 0, refused: 0, failed: 0, closed: 0,
+		sent: 0, answered: 0, refused: 0, failed: 0, closed: 0, left: 0,
 	};
 
 	/** Number of requests that ended with a failure, a closed connection or a refusal, by its description without numbers. */
@@ -85,6 +108,8 @@
 
 	/** Times at which processes passed on that an upstream leaves, by upstream and process. */
 	readonly #leavesTold = new Map<string, number>();
+	readonly #crashing = new Map<string, CrashingRequest>();
+	#lateDepartures = 0;
 	readonly #versions = new Map<string, VersionEvidence>();
 	readonly #writtenAt = new Map<number, number>();
 
@@ -121,6 +146,45 @@
 		this.#leavesTold.set(key, this.#leavesTold.get(key) ?? this.#now());
 	}
 
+	/** Records that the caller of a request closed its connection. */
+	recordLeft(id: string): void {
+		const request = this.#requests.get(id)!;
+		request.end = 'left';
+		request.leftAt = this.#now();
+		this.counts.left++;
+	}
+
+	/** Records that an upstream was at work on a request until now. */
+	recordWork(id: string, upstream: string): void {
+		const request = this.#requests.get(id);
+		if (request?.isIdempotent) {
+			this.#checkDeparture(request, `is at work on ${upstream}`);
+		}
+	}
+
+	/** Records that a request crashed an upstream; `key` is the same for equal requests. */
+	recordCrash(key: string): void {
+		const crashing = this.#crashing.get(key) ?? {crashCount: 0, lastAllowedAt: Number.POSITIVE_INFINITY, lateArrivals: 0};
+		this.#crashing.set(key, crashing);
+		crashing.crashCount++;
+		if (crashing.crashCount === maxCrashes) {
+			crashing.lastAllowedAt = this.#now() + crashSpreadMs;
+		}
+	}
+
+	/** Records that a request that crashes upstreams reached one. */
+	recordCrashingArrival(key: string, upstream: string): void {
+		const crashing = this.#crashing.get(key);
+		if (crashing === undefined || this.#now() < crashing.lastAllowedAt) {
+			return;
+		}
+
+		crashing.lateArrivals++;
+		if (crashing.lateArrivals > crashSlack) {
+			this.recordViolation('crashes', `${key} reaches ${upstream} ${Math.round(this.#now() - crashing.lastAllowedAt)} ms after every node had to refuse it, for the ${crashing.lateArrivals}th time`);
+		}
+	}
+
 	/** Records that a request reached an upstream, which may refuse it. */
 	recordArrival(id: string, upstream: string): void {
 		const request = this.#requests.get(id);
@@ -128,6 +192,7 @@
 			return;
 		}
 
+		this.#checkDeparture(request, `reaches ${upstream}`);
 		const now = this.#now();
 		const leaveToldAt = this.#leavesTold.get(`${upstream} ${request.process}`);
 		if (leaveToldAt !== undefined && request.sentAt > leaveToldAt + noticeMs) {
@@ -160,6 +225,10 @@
 			this.recordViolation('at most once', `${id} runs ${request.runCount} times, now on ${upstream}`);
 		}
 
+		if (request.runCount > maxAttempts) {
+			this.recordViolation('attempts', `${id} runs on ${request.runCount} upstreams, now on ${upstream}`);
+		}
+
 		if (!request.isIdempotent && request.end === 'refused') {
 			this.recordViolation('true refusals', `${id} runs on ${upstream} after it was refused`);
 		}
@@ -243,6 +312,18 @@
 		this.violations.push(`${Math.round(this.#now())} ms, ${promise}: ${detail}`);
 	}
 
+	/** Checks that nothing goes on for a caller that has left. */
+	#checkDeparture({id, leftAt, sentAt}: RequestRecord, description: string): void {
+		if (leftAt === undefined || this.#now() <= leftAt + departureMs || this.#isExcused(this.#faults, sentAt)) {
+			return;
+		}
+
+		this.#lateDepartures++;
+		if (this.#lateDepartures > departureSlack) {
+			this.recordViolation('departures', `${id} ${description} ${Math.round(this.#now() - leftAt)} ms after its caller has left`);
+		}
+	}
+
 	#countFailure({runCount}: RequestRecord, end: RequestEnd, detail: string): void {
 		if (end !== 'answered') {
 			const failure = `${end} after ${runCount} runs: ${detail.replaceAll(/\d+(?:\.\d+)*/gv, 'N')}`;
--- a/packages/bench/src/soak-plan.ts
+++ b/packages/bench/src/soak-plan.ts
@@ -11,13 +11,20 @@
 /** Faults of processes. They may end requests. */
 const processFaults = ['kill', 'pause'] as const;
 
+/** Faults that go with load: a request that crashes upstreams, and a node that gets little processor time. They may end requests. */
+const loadFaults = ['crashing-request', 'slow-node'] as const;
+
+/** What callers do. It must not end requests of others. */
+const callerKinds = ['impatient-clients'] as const;
+
 /** Faults of the store and of the way to it. They excuse late configurations, but no lost request. */
 const storeFaults = [
 	'store-down', 'store-slow', 'store-loses-responses', 'store-applies-late', 'store-forgets-history', 'store-restored', 'store-refuses-some', 'store-resets-some', 'store-silent-for-some',
 ] as const;
 
 /** Kind of a disturbance. */
-export type SoakEventKind = typeof plannedKinds[number] | typeof upstreamKinds[number] | typeof processFaults[number] | typeof storeFaults[number];
+export type SoakEventKind
+	= | typeof plannedKinds[number] | typeof upstreamKinds[number] | typeof processFaults[number] | typeof loadFaults[number] | typeof callerKinds[number] | typeof storeFaults[number];
 
 /** A disturbance. */
 export type SoakEvent = {
@@ -67,6 +74,15 @@
 /** Offset of the seed from which the events of upstreams are drawn, so that they don't change the other events of a seed. */
 const upstreamSeedOffset = 1_000_003;
 
+/** Bounds of the time between two load faults, and their durations. */
+const minLoadFaultGapMs = 4000;
+const maxLoadFaultGapMs = 12_000;
+const minLoadFaultMs = 2000;
+const maxLoadFaultMs = 7000;
+
+/** Offset of the seed from which load faults are drawn, so that they don't change the other events of a seed. */
+const loadSeedOffset = 2_000_003;
+
 /** Share of the kinds of faults that a seed draws. */
 const faultShare = 0.4;
 
@@ -75,7 +91,7 @@
 
 /** Plans the events of a soak, in the order of their times. */
 export function buildSoakPlan(options: SoakPlanOptions): SoakEvent[] {
-	return [...buildDisturbances(options), ...buildUpstreamEvents(options)].toSorted((left, right) => left.at - right.at);
+	return [...buildDisturbances(options), ...buildUpstreamEvents(options), ...buildLoadFaults(options)].toSorted((left, right) => left.at - right.at);
 }
 
 function createRandom(seed: number): SeededRandom {
@@ -104,6 +120,29 @@
 	}
 }
 
+/** Plans load faults, and what callers do, of the kinds that the seed draws. */
+function buildLoadFaults({seed, duration, vmCount, hasFaults}: SoakPlanOptions): SoakEvent[] {
+	const random = createRandom(seed + loadSeedOffset);
+	const kinds = [...loadFaults, ...callerKinds].filter(() => random.next() < faultShare);
+	const events: SoakEvent[] = [];
+	if (!hasFaults || kinds.length === 0) {
+		return events;
+	}
+
+	let at = 0;
+	for (;;) {
+		at += chooseBetween(random, minLoadFaultGapMs, maxLoadFaultGapMs);
+		const event = {
+			at, kind: chooseOne<SoakEventKind>(random, kinds), vm: chooseInteger(random, vmCount), duration: chooseBetween(random, minLoadFaultMs, maxLoadFaultMs),
+		};
+		if (at + event.duration > duration - quietEndMs) {
+			return events;
+		}
+
+		events.push(event);
+	}
+}
+
 /** Plans planned work and faults. */
 function buildDisturbances({seed, duration, vmCount, hasFaults}: SoakPlanOptions): SoakEvent[] {
 	const random = createRandom(seed);
@@ -125,12 +164,12 @@
 
 /** Returns whether a disturbance may end requests. */
 export function isProcessFault(kind: SoakEventKind): boolean {
-	return (processFaults as readonly string[]).includes(kind);
+	return ([...processFaults, ...loadFaults] as readonly string[]).includes(kind);
 }
 
-/** Returns whether a disturbance excuses nothing: planned work, and what upstreams ask for. */
+/** Returns whether a disturbance excuses nothing: planned work, what upstreams ask for, and callers that leave. */
 export function isPlanned(kind: SoakEventKind): boolean {
-	return ([...plannedKinds, ...upstreamKinds] as readonly string[]).includes(kind);
+	return ([...plannedKinds, ...upstreamKinds, ...callerKinds] as readonly string[]).includes(kind);
 }
 
 /** Plans one event, or a series of restarts in the order of the VMs, in which the same VM may come twice. */
--- a/packages/bench/src/test/soak-ledger_test.ts
+++ b/packages/bench/src/test/soak-ledger_test.ts
@@ -104,6 +104,46 @@
 			send('a');
 			ledger.recordRun('a', 'u');
 		},
+		'a run on more upstreams than the route allows'({ledger, send}) {
+			send('a', true);
+			for (const upstream of ['u', 'v', 'w']) {
+				ledger.recordRun('a', upstream);
+			}
+		},
+		'requests that reach upstreams after their callers have left'({ledger, send, advance}) {
+			for (const id of ['a', 'b', 'c', 'd']) {
+				send(id);
+				ledger.recordLeft(id);
+			}
+
+			advance(600);
+			for (const id of ['a', 'b', 'c', 'd']) {
+				ledger.recordArrival(id, 'u');
+			}
+		},
+		'work that goes on after the callers have left'({ledger, send, advance}) {
+			for (const id of ['a', 'b', 'c', 'd']) {
+				send(id, true);
+				ledger.recordRun(id, 'u');
+				ledger.recordLeft(id);
+			}
+
+			advance(600);
+			for (const id of ['a', 'b', 'c', 'd']) {
+				ledger.recordWork(id, 'u');
+			}
+		},
+		'a request that reaches upstreams long after it has crashed three'({ledger, advance}) {
+			for (let crash = 0; crash < 3; crash++) {
+				ledger.recordCrashingArrival('k', 'u');
+				ledger.recordCrash('k');
+			}
+
+			advance(3100);
+			for (let arrival = 0; arrival < 4; arrival++) {
+				ledger.recordCrashingArrival('k', 'u');
+			}
+		},
 		'a version that goes back'({ledger, send, advance}) {
 			send('a');
 			ledger.recordVersionSeen('p', 'a', {atLeast: 5});
