Let the soak find requests that reach upstreams after three crashes

The check allowed three late arrivals, and the request came so often that each sidecar had seen two crashes itself before any was late: the code before the fix passed it.

--- a/packages/bench/src/soak-ledger.ts
+++ b/packages/bench/src/soak-ledger.ts
@@ -36,7 +36,6 @@
 type CrashingRequest = {
 	crashCount: number;
 	lastAllowedAt: number;
-	lateArrivals: number;
 };
 
 /** What a process showed of its version. */
@@ -63,10 +62,9 @@
 /** Number of upstreams that may run a request, by the routes of a soak. */
 const maxAttempts = 2;
 
-/** Number of upstreams that a request may crash, and the time after which every node must refuse it, but for a few arrivals. */
+/** Number of upstreams that a request may crash, and the time after which every node must refuse it. */
 const maxCrashes = 3;
 const crashSpreadMs = 3000;
-const crashSlack = 3;
 
 /** Time after its caller has left within which a request may reach an upstream and be at work there, and the number of requests that may be later. */
 const departureMs = 500;
@@ -164,7 +162,7 @@
 
 	/** Records that a request crashed an upstream; `key` is the same for equal requests. */
 	recordCrash(key: string): void {
-		const crashing = this.#crashing.get(key) ?? {crashCount: 0, lastAllowedAt: Number.POSITIVE_INFINITY, lateArrivals: 0};
+		const crashing = this.#crashing.get(key) ?? {crashCount: 0, lastAllowedAt: Number.POSITIVE_INFINITY};
 		this.#crashing.set(key, crashing);
 		crashing.crashCount++;
 		if (crashing.crashCount === maxCrashes) {
@@ -179,10 +177,7 @@
 			return;
 		}
 
-		crashing.lateArrivals++;
-		if (crashing.lateArrivals > crashSlack) {
-			this.recordViolation('crashes', `${key} reaches ${upstream} ${Math.round(this.#now() - crashing.lastAllowedAt)} ms after every node had to refuse it, for the ${crashing.lateArrivals}th time`);
-		}
+		this.recordViolation('crashes', `${key} reaches ${upstream} ${Math.round(this.#now() - crashing.lastAllowedAt)} ms after every node had to refuse it`);
 	}
 
 	/** Records that a request reached an upstream, which may refuse it. */
--- a/packages/bench/src/test/soak-ledger_test.ts
+++ b/packages/bench/src/test/soak-ledger_test.ts
@@ -140,9 +140,7 @@
 			}
 
 			advance(3100);
-			for (let arrival = 0; arrival < 4; arrival++) {
-				ledger.recordCrashingArrival('k', 'u');
-			}
+			ledger.recordCrashingArrival('k', 'u');
 		},
 		'a version that goes back'({ledger, send, advance}) {
 			send('a');
