Judge crashes alike at all nodes

Cause: whether two crashes overlap was computed from ages that grow on their way. Now each crash carries its generation, 1 more than that of the crashes known where the run started, so that all nodes judge alike; three crashes, one of them with the request alone after an earlier one, are enough. Upstreams that fail together still quarantine nothing.

--- a/packages/upstreams/src/call-quarantine.ts
+++ b/packages/upstreams/src/call-quarantine.ts
@@ -3,7 +3,8 @@
 import {type IncomingMessage} from 'node:http';
 import {decodeCrashRecords, encodeCrashRecords} from './crash-record.js';
 import {computeFingerprint} from './fingerprint.js';
-import {quarantineDurationMs, type Quarantine, type QuarantineStatus} from './quarantine.js';
+import {type QuarantineStatus} from './crash-count.js';
+import {quarantineDurationMs, type Quarantine} from './quarantine.js';
 import {type RequestBody} from './request-body.js';
 import {outcomes, type Refusal} from './upstreams.js';
 
@@ -32,6 +33,11 @@
 		return this.#quarantine.isEmpty ? 'clear' : this.#quarantine.getStatus(this.fingerprint);
 	}
 
+	/** Generation of a crash that a run of the request causes if it starts now. */
+	get nextGeneration(): number {
+		return this.#quarantine.isEmpty ? 1 : this.#quarantine.getNextGeneration(this.fingerprint);
+	}
+
 	/** Number of crashes that count against the request. */
 	get crashCount(): number {
 		return this.#quarantine.isEmpty ? 0 : this.#quarantine.countCrashes(this.fingerprint);
--- a/packages/upstreams/src/crash-count.ts
+++ b/packages/upstreams/src/crash-count.ts
@@ -1,4 +1,4 @@
-/** Counts the crashes that a request may have caused. */
+/** Decides what the crashes at which a request was in flight show. */
 
 /** A crash at which a request was in flight. */
 export type Crash = {
@@ -8,39 +8,42 @@
 	/** Number of different requests that were in flight. */
 	readonly inFlight: number;
 
-	/** Milliseconds for which the request had run. */
-	readonly ranFor: number;
+	/** 1 more than the highest generation of the crashes that were known to the node when the request started. */
+	readonly generation: number;
 
 	/** Whether the request has run without a crash since. */
 	readonly isAcquitted: boolean;
 };
 
-/** Crashes that count against a request. */
-export type CrashCount = {
-	readonly all: number;
+/** Whether a request runs normally (`clear`), runs while no other call does (`suspect`), or is refused (`quarantined`). */
+export type QuarantineStatus = 'clear' | 'suspect' | 'quarantined';
 
-	/** Those at which it was the only request in flight. */
-	readonly lone: number;
-};
+/** Number of crashes from which on a request is refused. */
+const maxCrashes = 3;
+
+/** Number of crashes from which on a request is refused, if it was the only one in flight at each of them. */
+const maxLoneCrashes = 2;
 
 /**
- * Counts the crashes that are not acquitted. Those at which the request already
- * ran when the one before happened count as one with it: several upstreams that
- * fail at the same time have another cause, and all requests are in flight then.
+ * Judges a request by the crashes that are not acquitted.
+ *
+ * Upstreams that fail together have another cause than a request, and requests
+ * that run at several of them are in flight at each. Their crashes have the same
+ * generation, as no node knew of one when the requests started. A request that
+ * causes crashes causes one after another. Generations are part of what nodes
+ * tell each other, so that all nodes judge alike, whatever their clocks say.
  */
-export function countCrashes(crashes: readonly Crash[]): CrashCount {
-	const open = crashes.filter(({isAcquitted}) => !isAcquitted).toSorted((left, right) => left.crashedAt - right.crashedAt);
-	const isLone: boolean[] = [];
-	let lastCrashAt = Number.NEGATIVE_INFINITY;
-	for (const {crashedAt, ranFor, inFlight} of open) {
-		if (crashedAt - ranFor < lastCrashAt) {
-			isLone[isLone.length - 1] ||= inFlight === 1;
-			continue;
-		}
-
-		isLone.push(inFlight === 1);
-		lastCrashAt = crashedAt;
+export function judgeCrashes(crashes: readonly Crash[]): QuarantineStatus {
+	const lone = crashes.filter(({inFlight}) => inFlight === 1);
+	const hasCausedAlone = lone.some(({generation}) => generation > 1);
+	if (findGeneration(crashes) >= maxCrashes || (hasCausedAlone && (crashes.length >= maxCrashes || lone.length >= maxLoneCrashes))) {
+		return 'quarantined';
 	}
 
-	return {all: isLone.length, lone: isLone.filter(Boolean).length};
+	return crashes.length >= maxCrashes - 1 || lone.length > 0 ? 'suspect' : 'clear';
+}
+
+/** Returns the highest generation; 0 without a crash. */
+export function findGeneration(crashes: readonly Crash[]): number {
+	return Math.max(0, ...crashes.map(({generation}) => generation));
 }
--- a/packages/upstreams/src/crash-detector.ts
+++ b/packages/upstreams/src/crash-detector.ts
@@ -8,8 +8,8 @@
 
 /** A call that was forwarded to the upstream and has not ended. */
 export type InFlightCall = {
-	/** Monotonic time in milliseconds. */
-	readonly startedAt: number;
+	/** Generation of a crash that it causes. */
+	readonly generation: number;
 
 	/** Computes the fingerprint on demand, as most calls never need it. */
 	readonly computeFingerprint: () => string;
@@ -58,8 +58,7 @@
 
 	async #probe(): Promise<boolean> {
 		const {origin, incarnation, hasLeft} = this.#localUpstream;
-		const lostAt = this.#clock.now();
-		const runs = this.#listRuns(lostAt);
+		const runs = this.#listRuns();
 		const hasEnded = await isConnectionRefused(origin);
 		this.#pendingProbe = undefined;
 		if (!hasEnded) {
@@ -79,12 +78,12 @@
 		return !hasLeft;
 	}
 
-	/** Lists for how long each request in flight has run; of equal ones the shortest time counts, as the last one started may be the cause. */
-	#listRuns(now: number): ReadonlyMap<string, number> {
+	/** Lists the generation of each request in flight; of equal ones the last one started may be the cause. */
+	#listRuns(): ReadonlyMap<string, number> {
 		const runs = new Map<string, number>();
-		for (const {startedAt, computeFingerprint} of this.#calls) {
+		for (const {generation, computeFingerprint} of this.#calls) {
 			const fingerprint = computeFingerprint();
-			runs.set(fingerprint, Math.min(runs.get(fingerprint) ?? Number.POSITIVE_INFINITY, now - startedAt));
+			runs.set(fingerprint, Math.max(runs.get(fingerprint) ?? 0, generation));
 		}
 
 		return runs;
--- a/packages/upstreams/src/crash-record.ts
+++ b/packages/upstreams/src/crash-record.ts
@@ -14,22 +14,22 @@
 	/** Milliseconds since the crash. */
 	readonly age: number;
 
-	/** Milliseconds for which the request had run at the crash; the last one started, if it ran several times at once. */
-	readonly ranFor: number;
+	/** 1 more than the highest generation of the crashes that were known to the node when the request started. */
+	readonly generation: number;
 
 	/** Whether the request has run without a crash since it was known, so that this crash no longer counts against it. */
 	readonly isAcquitted: boolean;
 };
 
-/** A record on the wire: its values in a fixed order, with times in whole milliseconds. */
-type EncodedRecord = readonly [fingerprint: string, crash: string, inFlight: number, age: number, ranFor: number, isAcquitted: 0 | 1];
+/** A record on the wire: its values in a fixed order, with the age in whole milliseconds. */
+type EncodedRecord = readonly [fingerprint: string, crash: string, inFlight: number, age: number, generation: number, isAcquitted: 0 | 1];
 
 const maxKeyLength = 64;
 
 /** Encodes records as JSON. */
 export function encodeCrashRecords(records: readonly CrashRecord[]): string {
-	return JSON.stringify(records.map(({fingerprint, crash, inFlight, age, ranFor, isAcquitted}): EncodedRecord =>
-		[fingerprint, crash, inFlight, Math.round(age), Math.round(ranFor), isAcquitted ? 1 : 0]));
+	return JSON.stringify(records.map(({fingerprint, crash, inFlight, age, generation, isAcquitted}): EncodedRecord =>
+		[fingerprint, crash, inFlight, Math.round(age), generation, isAcquitted ? 1 : 0]));
 }
 
 /** Decodes records from JSON; malformed ones are left out, as another version of a node may have sent them. */
@@ -52,10 +52,10 @@
 		return [];
 	}
 
-	const [fingerprint, crash, inFlight, age, ranFor, isAcquitted] = item as unknown[];
-	return isKey(fingerprint) && isKey(crash) && isCount(inFlight) && isDuration(age) && isDuration(ranFor)
+	const [fingerprint, crash, inFlight, age, generation, isAcquitted] = item as unknown[];
+	return isKey(fingerprint) && isKey(crash) && isCount(inFlight) && isDuration(age) && isCount(generation)
 		? [{
-			fingerprint, crash, inFlight, age, ranFor, isAcquitted: isAcquitted === 1,
+			fingerprint, crash, inFlight, age, generation, isAcquitted: isAcquitted === 1,
 		}]
 		: [];
 }
--- a/packages/upstreams/src/mesh-call.ts
+++ b/packages/upstreams/src/mesh-call.ts
@@ -182,14 +182,14 @@
 	}
 
 	async #runAdmitted(): Promise<void> {
-		const {crashDetector, clock} = this.#dependencies;
+		const {crashDetector} = this.#dependencies;
 		// It may have been quarantined while it waited.
 		if (this.#quarantine.status === 'quarantined') {
 			this.#refuse({...this.#quarantine.buildRefusal(), cause: refusalCauses.quarantined});
 			return;
 		}
 
-		const call: InFlightCall = {startedAt: clock.now(), computeFingerprint: () => this.#quarantine.fingerprint};
+		const call: InFlightCall = {generation: this.#quarantine.nextGeneration, computeFingerprint: () => this.#quarantine.fingerprint};
 		crashDetector.add(call);
 		try {
 			const result = await this.#forward();
--- a/packages/upstreams/src/quarantine.ts
+++ b/packages/upstreams/src/quarantine.ts
@@ -2,12 +2,11 @@
 import {type Clock} from '@ebonylead/base/base.js';
 import {hashText} from '@ebonylead/base/hash.js';
 import {type Logger} from '@ebonylead/base/logs.js';
-import {countCrashes, type Crash} from './crash-count.js';
+import {
+	findGeneration, judgeCrashes, type Crash, type QuarantineStatus,
+} from './crash-count.js';
 import {type CrashRecord} from './crash-record.js';
 
-/** Whether a request runs normally (`clear`), runs while no other call does (`suspect`), or is refused (`quarantined`). */
-export type QuarantineStatus = 'clear' | 'suspect' | 'quarantined';
-
 /** A request that is not clear, for operators. */
 export type QuarantinedRequest = {
 	readonly fingerprint: string;
@@ -15,12 +14,6 @@
 	readonly crashes: readonly CrashRecord[];
 };
 
-/** Number of crashes from which on a request is refused. */
-const maxCrashes = 3;
-
-/** Number of crashes from which on a request is refused, if it was the only one in flight at each of them. */
-const maxLoneCrashes = 2;
-
 /** Time in milliseconds after which a crash no longer counts. */
 export const quarantineDurationMs = 10 * 60 * 1000;
 
@@ -98,17 +91,18 @@
 	/** Returns the number of crashes that count against a request. */
 	countCrashes(fingerprint: string): number {
 		this.#removeExpired();
-		return this.#count(fingerprint).all;
+		return this.#listOpen(fingerprint).length;
 	}
 
 	getStatus(fingerprint: string): QuarantineStatus {
 		this.#removeExpired();
-		const {all, lone} = this.#count(fingerprint);
-		if (all >= maxCrashes || lone >= maxLoneCrashes) {
-			return 'quarantined';
-		}
+		return judgeCrashes(this.#listOpen(fingerprint));
+	}
 
-		return all >= maxCrashes - 1 || lone > 0 ? 'suspect' : 'clear';
+	/** Returns the generation of a crash that a run of a request causes if it starts now. */
+	getNextGeneration(fingerprint: string): number {
+		this.#removeExpired();
+		return findGeneration(this.#listOpen(fingerprint)) + 1;
 	}
 
 	/** Lists all records, or those of one request. */
@@ -125,11 +119,11 @@
 	 * Records that an upstream crashed while requests were in flight.
 	 *
 	 * @param crash Identifies the crash.
-	 * @param runs Milliseconds for which the requests had run, by their fingerprints.
+	 * @param runs Generations of the requests, by their fingerprints.
 	 */
 	recordCrash(crash: string, runs: ReadonlyMap<string, number>): void {
-		this.#apply(Array.from(runs, ([fingerprint, ranFor]) => ({
-			fingerprint, crash, inFlight: runs.size, age: 0, ranFor, isAcquitted: false,
+		this.#apply(Array.from(runs, ([fingerprint, generation]) => ({
+			fingerprint, crash, inFlight: runs.size, age: 0, generation, isAcquitted: false,
 		})), crashSources.local);
 	}
 
@@ -172,7 +166,7 @@
 
 	/** Adds a record; returns false if it tells nothing new. */
 	#add(record: CrashRecord): boolean {
-		const {fingerprint, crash, age, inFlight, ranFor, isAcquitted} = record;
+		const {fingerprint, crash, age, inFlight, generation, isAcquitted} = record;
 		const crashes = this.#requests.get(fingerprint) ?? new Map<string, Crash>();
 		const known = crashes.get(crash);
 		const isNews = known === undefined
@@ -190,7 +184,7 @@
 		const crashedAt = known?.crashedAt ?? this.#clock.now() - age;
 		this.#updateDigest(fingerprint, crash, known);
 		const added = {
-			crashedAt, inFlight, ranFor, isAcquitted,
+			crashedAt, inFlight, generation, isAcquitted,
 		};
 		crashes.set(crash, added);
 		this.#updateDigest(fingerprint, crash, added);
@@ -200,16 +194,17 @@
 		return true;
 	}
 
-	#count(fingerprint: string): ReturnType<typeof countCrashes> {
-		return countCrashes([...this.#requests.get(fingerprint)?.values() ?? []]);
+	/** Lists the crashes that count against a request. */
+	#listOpen(fingerprint: string): Crash[] {
+		return [...this.#requests.get(fingerprint)?.values() ?? []].filter(({isAcquitted}) => !isAcquitted);
 	}
 
 	#recordStatus(fingerprint: string, before: QuarantineStatus, source: CrashSource): void {
 		const status = this.getStatus(fingerprint);
 		if (status !== before) {
 			this.#log?.warn({
-				fingerprint, status, before, source, crashes: this.listRecords(fingerprint).map(({crash, inFlight, age, isAcquitted}) => ({
-					crash, inFlight, age: Math.round(age), isAcquitted,
+				fingerprint, status, before, source, crashes: this.listRecords(fingerprint).map(({crash, inFlight, generation, age, isAcquitted}) => ({
+					crash, inFlight, generation, age: Math.round(age), isAcquitted,
 				})),
 			}, 'The quarantine status of a request changed');
 		}
--- a/packages/upstreams/src/upstream-metrics.ts
+++ b/packages/upstreams/src/upstream-metrics.ts
@@ -1,7 +1,8 @@
 /** Prometheus metrics of the local upstream. */
 import {Gauge, type Registry} from 'prom-client';
 import {type LocalUpstream} from './local-upstream.js';
-import {type Quarantine, type QuarantineStatus} from './quarantine.js';
+import {type QuarantineStatus} from './crash-count.js';
+import {type Quarantine} from './quarantine.js';
 
 /** Registers gauges that read the state of the local upstream when they are collected. */
 export function registerUpstreamMetrics(registry: Registry, localUpstream: LocalUpstream): void {
