--- a/packages/node/src/crash-gossip.ts
+++ b/packages/node/src/crash-gossip.ts
@@ -36,6 +36,13 @@
 /** Minimum interval in milliseconds between two exchanges because of a different digest. */
 const exchangeIntervalMs = 250;
 
+/** Number of other nodes that a node asks at its start, and the interval in milliseconds between two attempts. */
+const startExchangeCount = 3;
+const startIntervalMs = 300;
+
+/** Time in milliseconds after the start in which a node asks others: enough for members to become known. */
+const startDurationMs = 10_000;
+
 /** Maximum number of records in a message; the newest ones. */
 const maxRecords = 2000;
 
@@ -58,8 +65,9 @@
 /**
  * Each node passes what it learns on to a few random ones, for as many rounds as
  * it takes to reach all of them with high probability. Who missed it, because it
- * was cut off or has just started, learns of it with its next call: nodes compare
- * the digests of what they know on each call, and exchange all if these differ.
+ * was cut off learns of it with its next call: nodes compare the digests of what
+ * they know on each call, and exchange all if these differ. A node that has just
+ * started asks a few others.
  */
 export class CrashGossip {
 	readonly #dependencies: CrashGossipDependencies;
@@ -85,6 +93,20 @@
 		void this.#runRounds();
 	}
 
+	/** Asks a few other nodes for what they know, as an earlier process of this node may have known it. */
+	async start(): Promise<void> {
+		const {clock} = this.#dependencies;
+		const end = clock.now() + startDurationMs;
+		for (let count = 0; count < startExchangeCount && clock.now() < end && !this.#isStopped;) {
+			const [peer] = this.#choosePeers();
+			if (peer && await this.#exchange(buildOrigin(peer), [])) {
+				count++;
+			}
+
+			await clock.sleep(startIntervalMs);
+		}
+	}
+
 	/** Handles the digest of another node: exchanges all records with it if it knows others. */
 	handleDigest(digest: string, origin: string): void {
 		const {quarantine, clock} = this.#dependencies;
@@ -116,8 +138,8 @@
 		this.#isSpreading = true;
 		while (this.#news.size > 0) {
 			const records = this.#takeNews();
-			for (const {host, meshPort} of this.#choosePeers()) {
-				void this.#exchange(`http://${host}:${meshPort}`, records);
+			for (const peer of this.#choosePeers()) {
+				void this.#exchange(buildOrigin(peer), records);
 			}
 
 			await this.#dependencies.clock.sleep(roundIntervalMs);
@@ -152,18 +174,21 @@
 		return peers;
 	}
 
-	async #exchange(origin: string, records: readonly CrashRecord[]): Promise<void> {
+	/** Exchanges records with a node; returns whether it responded. */
+	async #exchange(origin: string, records: readonly CrashRecord[]): Promise<boolean> {
 		const {quarantine, send, log} = this.#dependencies;
 		if (this.#isStopped) {
-			return;
+			return false;
 		}
 
 		try {
 			const response = decodeMessage(await send(origin, this.#buildMessage(records)));
 			quarantine.merge(decodeCrashRecords(response.records));
+			return true;
 		} catch (error) {
 			// Another node passes it on, or the next call shows that the digests differ.
 			log.info({origin, reason: describeError(error)}, 'Exchanging known crashes with a node failed');
+			return false;
 		}
 	}
 
@@ -209,6 +234,10 @@
 const idleTimeoutMs = 4000;
 const statusOk = 200;
 
+function buildOrigin({host, meshPort}: Member): string {
+	return `http://${host}:${meshPort}`;
+}
+
 function decodeMessage(text: string): CrashMessage {
 	try {
 		const {digest, records} = JSON.parse(text) as Partial<CrashMessage>;
--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -224,6 +224,7 @@
 		this.#runTask('rules feed', this.#rulesFeed.run(signal));
 		this.#runTask('members', this.#directory.run(signal));
 		this.#runTask('peers', this.#stateFetcher.run(signal));
+		this.#runTask('crashes', this.#crashGossip.start());
 		this.#runTask('upstream', this.#localUpstream.run(signal));
 		this.#runTask('upstream state', this.announcementHandler.run());
 		this.#log.info({node: settings.id}, 'Started');
