--- a/packages/node/src/crash-gossip.ts
+++ b/packages/node/src/crash-gossip.ts
@@ -1,14 +1,11 @@
 /** Spreads the crashes of upstreams that one node has seen to all others, without the store. */
 import {chooseInteger, type Clock, type Random} from '@ebonylead/base/base.js';
-import {readBoundedText} from '@ebonylead/base/bounded-text.js';
-import {StepError, describeError} from '@ebonylead/base/errors.js';
+import {describeError} from '@ebonylead/base/errors.js';
 import {type Logger} from '@ebonylead/base/logs.js';
 import {MemberState, type Member} from '@ebonylead/peers/generated/peers.js';
 import {type Membership} from '@ebonylead/peers/membership.js';
 import {decodeCrashRecords, encodeCrashRecords, type CrashRecord} from '@ebonylead/upstreams/crash-record.js';
-import {crashPath, maxCrashBytes} from '@ebonylead/upstreams/mesh-listener.js';
 import {type Quarantine} from '@ebonylead/upstreams/quarantine.js';
-import {Agent} from 'undici';
 
 /** Dependencies of `CrashGossip`. */
 export type CrashGossipDependencies = {
@@ -64,8 +61,8 @@
 
 /**
  * Each node passes what it learns on to a few random ones, for as many rounds as
- * it takes to reach all of them with high probability. Who missed it, because it
- * was cut off learns of it with its next call: nodes compare the digests of what
+ * it takes to reach all of them with high probability. A node that missed it, as it
+ * was cut off, learns of it with its next call: nodes compare the digests of what
  * they know on each call, and exchange all if these differ. A node that has just
  * started asks a few others.
  */
@@ -198,42 +195,6 @@
 	}
 }
 
-/** Sends messages over HTTP. */
-export class HttpCrashTransport {
-	readonly #agent = new Agent({
-		connections: 1, connect: {timeout: requestTimeoutMs}, headersTimeout: requestTimeoutMs, bodyTimeout: requestTimeoutMs, keepAliveTimeout: idleTimeoutMs, maxResponseSize: maxCrashBytes,
-	});
-
-	/**
-	 * Sends a text to a node, and returns its response.
-	 *
-	 * @throws StepError if the node does not know such messages; Error if it does not respond in time.
-	 */
-	async send(origin: string, text: string): Promise<string> {
-		const {statusCode, body} = await this.#agent.request({
-			origin, method: 'POST', path: crashPath, body: text, headers: {'content-type': 'application/json'}, signal: AbortSignal.timeout(requestTimeoutMs),
-		});
-		const response = await readBoundedText(body, maxCrashBytes, origin);
-		if (statusCode !== statusOk) {
-			throw new StepError('exchange crashes', origin, `status ${statusCode}`);
-		}
-
-		return response;
-	}
-
-	/** Closes all connections. */
-	async close(): Promise<void> {
-		await this.#agent.destroy();
-	}
-}
-
-/** Longest time in milliseconds of an exchange. */
-const requestTimeoutMs = 500;
-
-/** Time in milliseconds after which an unused connection is closed. */
-const idleTimeoutMs = 4000;
-const statusOk = 200;
-
 function buildOrigin({host, meshPort}: Member): string {
 	return `http://${host}:${meshPort}`;
 }
