--- a/packages/node/src/peer-state.ts
+++ b/packages/node/src/peer-state.ts
@@ -39,7 +39,7 @@
 export type PeerStateFetcherDependencies = {
 	readonly self: Member;
 
-	/** Hosts that may run a node; state is fetched from them while the store is unavailable and no other member is known. */
+	/** Hosts that may run a node; state is also fetched from them while the store is unavailable, and no other member is known or this node has no version yet. */
 	readonly seedHosts: readonly string[];
 	readonly membership: Membership;
 	readonly clock: Clock;
@@ -172,14 +172,19 @@
 	}
 
 	#choosePeer(): string | undefined {
-		const {membership, self, seedHosts, random} = this.#dependencies;
+		const {
+			membership, self, seedHosts, random, getVersion,
+		} = this.#dependencies;
 		const members = membership.listAll().filter(member => member.state === MemberState.ALIVE && member.id !== self.id);
 		const sameDataCentre = members.filter(member => member.dataCentre === self.dataCentre);
 		// Prefers peers in the same data centre, as traffic between data centres is expensive; any peer at times, in case the data centre is partitioned from the others.
 		const candidates = sameDataCentre.length > 0 && random.next() < 0.5 ? sameDataCentre : members;
-		const origins = candidates.length > 0
-			? candidates.map(member => `http://${member.host}:${member.meshPort}`)
-			: seedHosts.map(host => `http://${host}:${self.meshPort}`);
+		const origins = candidates.map(member => `http://${member.host}:${member.meshPort}`);
+		if (candidates.length === 0 || getVersion() === 0) {
+			// Members that have no version either were restarted as well, and may know only each other.
+			origins.push(...seedHosts.map(host => `http://${host}:${self.meshPort}`));
+		}
+
 		return origins[chooseInteger(random, Math.max(1, origins.length))];
 	}
 
--- a/packages/node/src/test/peer-state_test.ts
+++ b/packages/node/src/test/peer-state_test.ts
@@ -1,4 +1,4 @@
-import {createServer} from 'node:http';
+import {createServer, type Server} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {SystemClock} from '@ebonylead/base/base.js';
 import {createLogger} from '@ebonylead/base/logs.js';
@@ -27,9 +27,20 @@
 	readonly getRequestCount: () => number;
 };
 
-/** Runs a fetcher and a peer that has a later version. */
-async function withFetcher(overrides: Partial<PeerStateFetcherDependencies>, run: (fixture: FetcherFixture) => Promise<void>): Promise<void> {
-	let version = 1;
+/** Starts a node that has no version, as it was restarted; it knows only itself. */
+async function startRestartedNode(address: string, port: number): Promise<Server> {
+	const server = createServer((_request, response) => {
+		response.end(encodeState(undefined, [{...buildMember('n2', port), host: address}]));
+	});
+	await new Promise<void>(resolve => {
+		server.listen(port, address, resolve);
+	});
+	return server;
+}
+
+/** Runs a fetcher and a peer that has a later version. The fetcher knows the peer as a member, or a restarted node in its place. */
+async function withFetcher(overrides: Partial<PeerStateFetcherDependencies>, run: (fixture: FetcherFixture) => Promise<void>, restartedHost?: string): Promise<void> {
+	let version = restartedHost === undefined ? 1 : 0;
 	let requestCount = 0;
 	const history = new RulesHistory();
 	const peerHistory = new RulesHistory();
@@ -43,7 +54,8 @@
 	});
 	const {port} = peer.address() as AddressInfo;
 	const membership = new Membership();
-	membership.merge([buildMember('n2', port)], 0);
+	membership.merge([{...buildMember('n2', port), host: restartedHost ?? host}], 0);
+	const restarted = restartedHost === undefined ? undefined : await startRestartedNode(restartedHost, port);
 	const controller = new AbortController();
 	const fetcher = new PeerStateFetcher({
 		self: buildMember('n1', port),
@@ -68,8 +80,10 @@
 	} finally {
 		controller.abort();
 		await running;
-		peer.closeAllConnections();
-		peer.close();
+		for (const server of [peer, restarted]) {
+			server?.closeAllConnections();
+			server?.close();
+		}
 	}
 }
 
@@ -138,6 +152,13 @@
 		});
 	});
 
+	it('fetches from a seed where the members that it knows have no version either, as they were restarted too', async t => {
+		await withFetcher({isStoreUnavailable: () => true, seedHosts: [host]}, async ({getVersion}) => {
+			await waitUntil(() => getVersion() === peerVersion, 'the fetcher', waitTimeoutMs);
+			t.pass();
+		}, '127.0.0.2');
+	});
+
 	it('sends no request while there is nothing to fetch', async t => {
 		await withFetcher({}, async ({fetcher, origin, getRequestCount}) => {
 			fetcher.recordVersion(1, origin);
