Take the loss of a connection for a crash also where the next process listens at once

A request that had crashed three upstreams was sent to a fourth. A sidecar takes the loss of a connection for a crash if the port refuses a new one.

The start time in announcements tells the two processes apart, so the calls in flight at a loss are kept for two announcements: if another process is announced in place of one that was not leaving, they are charged with its crash, under the same key as by the probe. A loss alone charges nobody, so an upstream that resets connections as it is full quarantines no request.

--- a/packages/upstreams/src/local-upstream.ts
+++ b/packages/upstreams/src/local-upstream.ts
@@ -49,6 +49,9 @@
 	/** Current status; observers are notified of each change. */
 	readonly status = new StateCell<UpstreamStatus>({state: 'absent', service: '', slots: 0});
 
+	/** Called with the key of an upstream process when another one was announced in its place. */
+	onReplaced: ((incarnation: string) => void) | undefined;
+
 	/** Assigns the slots of the upstream to calls. */
 	readonly admission: AdmissionControl;
 	readonly #clock: Clock;
@@ -92,7 +95,7 @@
 
 	/** Whether the upstream process leaves or has left. */
 	get hasLeft(): boolean {
-		return this.#left.has(this.incarnation);
+		return this.hasProcessLeft(this.incarnation);
 	}
 
 	/** What the upstream says of itself at present, for other nodes; undefined if it names no limit and does not leave. */
@@ -132,6 +135,14 @@
 		}
 
 		this.#setState(this.hasLeft ? 'draining' : announcement.state);
+		if (before !== '' && before !== this.incarnation) {
+			this.onReplaced?.(before);
+		}
+	}
+
+	/** Returns whether an upstream process leaves or has left. */
+	hasProcessLeft(incarnation: string): boolean {
+		return this.#left.has(incarnation);
 	}
 
 	/** Records that a process of the upstream has left, as an earlier process of this node knew. */
--- a/packages/upstreams/src/mesh-call.ts
+++ b/packages/upstreams/src/mesh-call.ts
@@ -189,7 +189,9 @@
 			return;
 		}
 
-		const call: InFlightCall = {generation: this.#quarantine.nextGeneration, computeFingerprint: () => this.#quarantine.fingerprint};
+		const call: InFlightCall = {
+			generation: this.#quarantine.nextGeneration, incarnation: this.#dependencies.localUpstream.incarnation, computeFingerprint: () => this.#quarantine.fingerprint,
+		};
 		crashDetector.add(call);
 		try {
 			const result = await this.#forward();
@@ -197,7 +199,7 @@
 				this.#quarantine.recordSuccess();
 			}
 
-			await this.#handleResult(result);
+			await this.#handleResult(call, result);
 		} finally {
 			crashDetector.remove(call);
 		}
@@ -272,7 +274,7 @@
 		return headers;
 	}
 
-	async #handleResult(result: ForwardResult): Promise<void> {
+	async #handleResult(call: InFlightCall, result: ForwardResult): Promise<void> {
 		const {localUpstream, log} = this.#dependencies;
 		switch (result.kind) {
 			case 'answered':
@@ -307,18 +309,18 @@
 			}
 
 			case 'unanswered': {
-				await this.#handleNoResponse(result.error);
+				await this.#handleNoResponse(call, result.error);
 				return;
 			}
 
 			case 'cut': {
 				log.warn(`Response from upstream ${localUpstream.origin} was cut off: ${describeError(result.error)}`);
-				await this.#dependencies.crashDetector.handleLostConnection();
+				await this.#dependencies.crashDetector.handleLostConnection(call);
 			}
 		}
 	}
 
-	async #handleNoResponse(error: Error): Promise<void> {
+	async #handleNoResponse(call: InFlightCall, error: Error): Promise<void> {
 		if (this.#cancellation.isCancelled) {
 			this.#refuse({
 				status: statusTimeout, outcome: outcomes.unknown, cause: refusalCauses.cancelled, reason: `the upstream did not answer: ${describeError(error)}`,
@@ -326,7 +328,7 @@
 			return;
 		}
 
-		await this.#dependencies.crashDetector.handleLostConnection();
+		await this.#dependencies.crashDetector.handleLostConnection(call);
 		this.#refuse({
 			status: statusBadGateway, outcome: outcomes.unknown, cause: refusalCauses.unanswered, reason: `the upstream did not answer: ${describeError(error)}`,
 		});
