Ask other nodes for known crashes until one of those that know the members has told

A request that had crashed three upstreams ran at a node that had restarted while the store was away. A node that starts asks three others for the crashes that they know of. Before it has the state of a node that knows the members, these may be nodes that have just started as well, and after three of them it asked no more; only its next call told that the digests differ.

Such answers don't count now. The test of three nodes that know only each other at first fails without it.

--- a/packages/node/src/crash-gossip.ts
+++ b/packages/node/src/crash-gossip.ts
@@ -17,6 +17,9 @@
 	readonly random: Random;
 	readonly log: Logger;
 
+	/** Whether this node knows the members; before, it may know only nodes that have just started too. */
+	readonly hasJoined: () => boolean;
+
 	/** Sends a text to a node, and resolves to its response. */
 	readonly send: (origin: string, text: string) => Promise<string>;
 };
@@ -92,11 +95,11 @@
 
 	/** Asks a few other nodes for what they know, as an earlier process of this node may have known it. */
 	async start(): Promise<void> {
-		const {clock} = this.#dependencies;
+		const {clock, hasJoined} = this.#dependencies;
 		const end = clock.now() + startDurationMs;
 		for (let count = 0; count < startExchangeCount && clock.now() < end && !this.#isStopped;) {
 			const [peer] = this.#choosePeers();
-			if (peer && await this.#exchange(buildOrigin(peer), [])) {
+			if (peer && await this.#exchange(buildOrigin(peer), []) && hasJoined()) {
 				count++;
 			}
 
--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -140,6 +140,7 @@
 			clock,
 			random,
 			log: this.#createLog('mesh'),
+			hasJoined: () => this.#canServe,
 			send: async (origin, text) => this.#crashTransport.send(origin, text),
 		});
 		const crashDetector = new CrashDetector(this.#localUpstream, this.quarantine, clock, this.#createLog('mesh'));
--- a/packages/node/src/test/crash-gossip_test.ts
+++ b/packages/node/src/test/crash-gossip_test.ts
@@ -19,7 +19,9 @@
 	readonly origin: string;
 	readonly quarantine: Quarantine;
 	readonly gossip: CrashGossip;
+	readonly membership: Membership;
 	isCutOff: boolean;
+	hasJoined: boolean;
 };
 
 function buildMember(index: number): Member {
@@ -63,6 +65,20 @@
 		quarantine.recordCrash(crash, new Map(inFlight.map(fingerprint => [fingerprint, quarantine.getNextGeneration(fingerprint)])));
 	}
 
+	/** Adds nodes that have just started, and know only each other. */
+	startIsland(count: number): Node[] {
+		const first = this.nodes.length;
+		const members = Array.from({length: count}, (_, index) => buildMember(first + index));
+		const started = members.map(({id, host, meshPort}, index) => this.#createNode(id, `http://${host}:${meshPort}`, members, first + index));
+		this.nodes.push(...started);
+		for (const node of started) {
+			node.hasJoined = false;
+			void node.gossip.start();
+		}
+
+		return started;
+	}
+
 	#createNode(id: string, origin: string, members: readonly Member[], index: number): Node {
 		const {clock} = this;
 		const membership = new Membership();
@@ -71,11 +87,12 @@
 			gossip.spread(records);
 		});
 		const gossip = new CrashGossip({
-			id, quarantine, membership, clock, random: new SeededRandom(1000 + index), log, send: async (target, text) => this.#send(origin, target, text),
+			id, quarantine, membership, clock, random: new SeededRandom(1000 + index), log, hasJoined: () => node.hasJoined, send: async (target, text) => this.#send(origin, target, text),
 		});
-		return {
-			origin, quarantine, gossip, isCutOff: false,
+		const node: Node = {
+			origin, quarantine, gossip, membership, isCutOff: false, hasJoined: true,
 		};
+		return node;
 	}
 
 	async #send(from: string, to: string, text: string): Promise<string> {
@@ -144,6 +161,21 @@
 		t.is(started.quarantine.countCrashes('x'), 1);
 	});
 
+	it('reach nodes that have just started and know only each other at first, once these know all members', async t => {
+		const fleet = new Fleet(20, 0, 31);
+		fleet.crash(0, 'c0', 'x');
+		await fleet.clock.advance(2 * spreadTimeMs);
+		const island = fleet.startIsland(3);
+		await fleet.clock.advance(spreadTimeMs / 2);
+		for (const node of island) {
+			node.membership.merge(Array.from({length: 20}, (_, index) => buildMember(index)), fleet.clock.now());
+			node.hasJoined = true;
+		}
+
+		await fleet.clock.advance(spreadTimeMs);
+		t.deepEqual(island.map(({quarantine}) => quarantine.countCrashes('x')), [1, 1, 1]);
+	});
+
 	it('are taken back everywhere by one run without a crash', async t => {
 		const fleet = new Fleet(20, 0.1, 27);
 		for (const index of [0, 1, 2]) {
