Ask once for each ejection, and simplify how the rest of a body is sent

Found by reading: if a call that was in flight succeeded while a probe was waited for, and the node was ejected again meanwhile, two waits ran for one ejection, and the earlier one ended it. Each wait now belongs to its ejection. The body of a call is never sent with two attempts, as a call with a large body has one attempt in flight at most, so that nothing has to find that out.

--- a/packages/callers/src/target-chooser.ts
+++ b/packages/callers/src/target-chooser.ts
@@ -261,12 +261,21 @@
 	/** Ends the ejection of an upstream when its sidecar responds: a call that tried whether it is back would be lost if it is not. */
 	async #probeAfter(probe: EjectionProbe, member: Member, state: TargetState, pause: number): Promise<void> {
 		const {signal} = this.#controller;
-		const isOver = () => signal.aborted || !state.isAwaitingProbe || this.#membership.findMember(member.id)?.incarnation !== member.incarnation;
+		const {ejectedUntil} = state;
+		const isCurrent = () => state.isAwaitingProbe && state.ejectedUntil === ejectedUntil;
 		await this.#clock.sleep(pause, signal);
-		const isResponding = isOver() || await probe.isResponding(member);
-		const mustEject = !isResponding && !isOver();
+		if (!isCurrent()) {
+			return;
+		}
+
+		const isKnown = !signal.aborted && this.#membership.findMember(member.id)?.incarnation === member.incarnation;
+		const isResponding = !isKnown || await probe.isResponding(member);
+		if (!isCurrent()) {
+			return;
+		}
+
 		state.isAwaitingProbe = false;
-		if (mustEject) {
+		if (!isResponding) {
 			this.#eject(member, state);
 		}
 	}
--- a/packages/callers/src/test/target-chooser_test.ts
+++ b/packages/callers/src/test/target-chooser_test.ts
@@ -225,6 +225,18 @@
 			t.is(probe.count, 1);
 		});
 
+		it('asks once for each ejection, also if a call in flight succeeds and the node is lost again meanwhile', async t => {
+			const {clock, probe, chooser} = createProbedChooser();
+			chooser.recordUnreachable(members[0]);
+			chooser.recordStart(members[0]);
+			chooser.recordEnd(members[0], false, 0);
+			await clock.advance(1000);
+			chooser.recordUnreachable(members[0]);
+			await clock.advance(1000);
+			t.is(probe.count, 1);
+			chooser.close();
+		});
+
 		it('stops asking when the member has written its record again, or this node stops', async t => {
 			for (const end of ['restart', 'stop'] as const) {
 				const {clock, membership, probe, chooser} = createProbedChooser();
--- a/packages/upstreams/src/body-transfer.ts
+++ b/packages/upstreams/src/body-transfer.ts
@@ -38,10 +38,12 @@
 		return this.#isRestHeldBack;
 	}
 
-	/** Sends the rest of a large body; returns false if it was sent with another request. */
-	sendRest(): boolean {
-		this.#isRestHeldBack = false;
-		return !(this.#body instanceof LargeBody) || this.#body.stream(this.#copy!);
+	/** Sends the rest of a large body that was held back. */
+	sendRest(): void {
+		if (this.#isRestHeldBack && this.#body instanceof LargeBody) {
+			this.#isRestHeldBack = false;
+			this.#body.stream(this.#copy!);
+		}
 	}
 
 	/** Calls a function when the server has no more of the body to wait for: at once, unless the rest of a large body is being sent. */
--- a/packages/upstreams/src/crash-detector.ts
+++ b/packages/upstreams/src/crash-detector.ts
@@ -137,10 +137,10 @@
 	}
 
 	/** Lists the generation of each request in flight at a process; of equal ones the last one started may be the cause. */
-	#listRuns(process: string): ReadonlyMap<string, number> {
+	#listRuns(ended: string): ReadonlyMap<string, number> {
 		const runs = new Map<string, number>();
 		for (const {generation, incarnation, computeFingerprint} of this.#calls) {
-			if (incarnation !== process) {
+			if (incarnation !== ended) {
 				continue;
 			}
 
--- a/packages/upstreams/src/forward.ts
+++ b/packages/upstreams/src/forward.ts
@@ -172,7 +172,7 @@
 		this.#restartSilenceTimer();
 		if (status < firstFinalStatus) {
 			this.#interimCount++;
-			this.#sendRest(controller);
+			this.#sendRest();
 			if (this.#interimCount > maxInterimResponses) {
 				controller.abort(new Error(`more than ${maxInterimResponses} interim responses`));
 			}
@@ -259,17 +259,12 @@
 	}
 
 	/** Sends the rest of a body that was held back, as the server has asked for it. */
-	#sendRest(controller: Dispatcher.DispatchController): void {
-		if (!this.#body.isRestHeldBack) {
-			return;
-		}
-
-		if (!this.#body.sendRest()) {
-			controller.abort(new Error('the body was sent with another attempt'));
+	#sendRest(): void {
+		if (this.#body.isRestHeldBack) {
+			this.#body.sendRest();
+			this.#silenceTimer?.stop();
+			this.#startSilenceTimerAfterBody();
 		}
-
-		this.#silenceTimer?.stop();
-		this.#startSilenceTimerAfterBody();
 	}
 
 	readonly #handleCancel = (reason: Error) => {
--- a/packages/upstreams/src/large-body.ts
+++ b/packages/upstreams/src/large-body.ts
@@ -43,19 +43,14 @@
 		return copy;
 	}
 
-	/** Streams the rest to a copy, as fast as the copy is read; returns false if another copy has taken it. */
-	stream(copy: PassThrough): boolean {
-		if (this.isTaken) {
-			return false;
-		}
-
+	/** Streams the rest to a copy, as fast as the copy is read. */
+	stream(copy: PassThrough): void {
 		this.#takenBy = copy;
 		if (this.#head.length > openingBytes) {
 			copy.write(this.#head.subarray(openingBytes));
 		}
 
 		this.#request.pipe(copy);
-		return true;
 	}
 
 	/** Ends a copy's use of the body. If the copy had taken the rest, what is left is discarded. */
