--- a/packages/callers/src/test/large-body_test.ts
+++ b/packages/callers/src/test/large-body_test.ts
@@ -27,7 +27,7 @@
 }
 
 /** Responds with the digest of the body that arrived. */
-const respondWithDigest: UpstreamHandler = (incoming, response) => {
+const sendDigest: UpstreamHandler = (incoming, response) => {
 	void buffer(incoming).then(body => {
 		const digest = computeDigest(body);
 		response.writeHead(200, {'content-length': digest.length}).end(digest);
@@ -67,7 +67,7 @@
 	for (const [framing, body] of Object.entries({'a length': buildBody('x'), chunks: buildBody('y')})) {
 		it(`reach the upstream whole, with ${framing}`, async t => {
 			await withHarness(async harness => {
-				await harness.addVm(respondWithDigest);
+				await harness.addVm(sendDigest);
 				const received = framing === 'a length'
 					? await call(harness, 'POST', '/large', {body})
 					: await sendChunked(harness, body);
@@ -79,7 +79,7 @@
 			await withHarness(async harness => {
 				const refusing = await harness.addVm(buildResponder('not reached'));
 				refusing.localUpstream.admission.close();
-				await harness.addVm(respondWithDigest);
+				await harness.addVm(sendDigest);
 				for (let count = 0; count < 4; count++) {
 					const received = framing === 'a length'
 						? await call(harness, 'POST', '/large', {body})
@@ -94,7 +94,7 @@
 
 	it('stay with the entry node until they have a slot', async t => {
 		await withHarness(async harness => {
-			const {vm, freeSlot} = await addFullVm(harness, respondWithDigest);
+			const {vm, freeSlot} = await addFullVm(harness, sendDigest);
 			const relay = await harness.addRelay(vm, '127.0.0.77');
 			const body = buildBody('x');
 			const pending = call(harness, 'POST', '/large', {body});
--- a/packages/upstreams/src/body-transfer.ts
+++ b/packages/upstreams/src/body-transfer.ts
@@ -23,7 +23,7 @@
 		if (body instanceof LargeBody) {
 			this.#copy = body.open();
 			if (!isRestHeldBack) {
-				body.stream(this.#copy);
+				body.sendRest(this.#copy);
 			}
 		}
 	}
@@ -42,7 +42,7 @@
 	sendRest(): void {
 		if (this.#isRestHeldBack && this.#body instanceof LargeBody) {
 			this.#isRestHeldBack = false;
-			this.#body.stream(this.#copy!);
+			this.#body.sendRest(this.#copy!);
 		}
 	}
 
--- a/packages/upstreams/src/large-body.ts
+++ b/packages/upstreams/src/large-body.ts
@@ -43,8 +43,8 @@
 		return copy;
 	}
 
-	/** Streams the rest to a copy, as fast as the copy is read. */
-	stream(copy: PassThrough): void {
+	/** Sends the rest to a copy, as fast as the copy is read. */
+	sendRest(copy: PassThrough): void {
 		this.#takenBy = copy;
 		if (this.#head.length > openingBytes) {
 			copy.write(this.#head.subarray(openingBytes));
