Add a failing test of callers that leave while their large body is held back

Such a call still reaches an upstream when a slot comes free, 0.7 s after its caller has left (trial with 300 kB and 3 MB; with 100 kB, which is buffered, it does not). The entry node reads no more of the body until the call has a slot, and the end of the connection comes behind it.

--- a/packages/callers/src/test/large-body_test.ts
+++ b/packages/callers/src/test/large-body_test.ts
@@ -17,6 +17,9 @@
 /** Most that an attempt may send before it has a slot: its headers, and the opening of the body. */
 const maxBytesWithoutSlot = 16 * 1024;
 
+/** Time in milliseconds after a caller has left from which on no upstream may get its call. */
+const maxLeaveNoticeMs = 500;
+
 function computeDigest(body: string | Buffer): string {
 	return createHash('sha256').update(body).digest('hex');
 }
@@ -158,6 +161,20 @@
 		});
 	});
 
+	it('are not sent to an upstream if the caller has left while they waited for a slot', async t => {
+		await withHarness(async harness => {
+			const {vm, freeSlot} = await addFullVm(harness, sendDigest);
+			const socket = await openUpload(harness, '/large', bodyBytes);
+			socket.write(Buffer.alloc(bodyBytes));
+			await waitUntil(() => vm.localUpstream.admission.waiting === 1, 'wait for a slot');
+			socket.destroy();
+			await sleep(maxLeaveNoticeMs);
+			freeSlot();
+			await sleep(maxLeaveNoticeMs);
+			t.is(vm.requestCount, 1);
+		});
+	});
+
 	it('are told apart by their first bytes when one of them crashes upstreams', async t => {
 		await withHarness(async harness => {
 			const poison = buildBody('poison');
