Log why a call is not retried, and summarise the calls of each route at both hops

Callers saw: too little served of the class that calls others. The logs could not tell why its calls ended after one attempt, how often an upstream refuses requests itself, and how the time of a call divides into the way, the wait for a slot and the time in it. 'Ended a call' now has what prevented a further attempt; both hops write a line a route each 2 s in which there are calls, without a timer. No decision changes.

--- a/packages/callers/src/call-record.ts
+++ b/packages/callers/src/call-record.ts
@@ -2,6 +2,7 @@
 import {type DecisionLog} from '@ebonylead/base/decision-log.js';
 import {outcomes, type Refusal} from '@ebonylead/upstreams/upstreams.js';
 import {callResults, type CallResult} from './call-metrics.js';
+import {type CallRetries} from './call-retries.js';
 
 /** The inputs that are known when a call ends. */
 export type CallInputs = {
@@ -36,6 +37,7 @@
 
 	/** One line for each attempt that ended. */
 	readonly #attempts: string[] = [];
+	#retries: CallRetries | undefined;
 
 	/** Sets what this node responded in place of an upstream. */
 	setRefusal({status, reason, outcome}: Refusal): void {
@@ -44,6 +46,11 @@
 		this.reason = reason;
 	}
 
+	/** Sets what decides on further attempts. */
+	setRetries(retries: CallRetries): void {
+		this.#retries = retries;
+	}
+
 	addAttempt(summary: string): void {
 		this.#attempts.push(summary);
 	}
@@ -53,8 +60,9 @@
 		return this.result === callResults.answered && statusCode < firstServerError;
 	}
 
-	/** Logs the call unless it was successful and not late. */
+	/** Logs the call unless it was successful and not late, and adds it to the summary of its route. */
 	log(decisionLog: DecisionLog, inputs: CallInputs, statusCode: number, isLate = false): void {
+		this.#recordSummary(decisionLog, inputs, statusCode);
 		if (this.isSuccess(statusCode) && !isLate) {
 			return;
 		}
@@ -74,8 +82,19 @@
 			status: this.status === 0 ? statusCode : this.status,
 			reason: this.reason,
 			asked: this.#attempts,
+			notRetried: this.#retries?.obstacle,
 			deadline: Math.round(deadline),
 			duration: Math.round(duration),
 		}, this.isSuccess(statusCode) ? 'Ended a call after its objective' : 'Ended a call');
 	}
+
+	#recordSummary({summaries}: DecisionLog, {route, duration}: CallInputs, statusCode: number): void {
+		if (route === undefined) {
+			return;
+		}
+
+		const {obstacle} = this.#retries ?? {};
+		const outcome = this.isSuccess(statusCode) ? 'answered' : `${this.status === 0 ? statusCode : this.status}${obstacle === undefined ? '' : `, ${obstacle}`}`;
+		summaries.record(route, outcome, {[this.isSuccess(statusCode) ? 'answered' : 'failed']: duration});
+	}
 }
--- a/packages/callers/src/call.ts
+++ b/packages/callers/src/call.ts
@@ -20,11 +20,12 @@
 import {callResults} from './call-metrics.js';
 import {CallQuota} from './call-quota.js';
 import {CallRecord} from './call-record.js';
+import {CallRetries} from './call-retries.js';
 import {buildBodyRefusal, findCancelStatus, type CallerBodies} from './caller-bodies.js';
 import {type CallerListenerDependencies} from './callers.js';
 import {publicAccess, type Access} from './organisation-check.js';
 import {type RequestTarget} from './request-target.js';
-import {admitRetry, canRetry, isRetryableFailure} from './retry-limits.js';
+import {isRetryableFailure} from './retry-limits.js';
 
 /** Number of crashed upstreams after which a call that may have been the cause is not retried. */
 const maxCrashes = 2;
@@ -182,18 +183,19 @@
 		this.#headers[meshHeaders.requestId] ??= this.#dependencies.protocol.readRequestId(this.#request) ?? this.#dependencies.requestIds.create();
 		this.#dependencies.retryBudget.recordCall(this.#service);
 		const inheritedAttempt = readPositiveInteger(this.#request, meshHeaders.attempt) ?? 1;
-		let attemptCount = 1;
+		const retries = new CallRetries(this.#dependencies, {
+			service: this.#service, route, inheritedAttempt, counts: this.#counts,
+		});
+		this.#record.setRetries(retries);
 		let step = this.#startAttempt(route, inheritedAttempt) ?? await this.#waitForStep(route);
 		while (step !== 'done') {
-			if (step === 'retry' && this.#canRetry(route, attemptCount)) {
+			if (step === 'retry' && this.#canRetry(retries)) {
 				await this.#checkCaller();
 				if (this.#cancellation.isCancelled) {
 					continue;
 				}
 
-				attemptCount++;
-				const admit = () => admitRetry(this.#dependencies, this.#service, inheritedAttempt, this.#counts.reachedUpstreams);
-				step = this.#startAttempt(route, inheritedAttempt + attemptCount - 1, admit) ?? await this.#waitForStep(route);
+				step = this.#startAttempt(route, retries.addAttempt(), () => retries.admit()) ?? await this.#waitForStep(route);
 			} else if (this.#inFlight.isEmpty) {
 				this.#refuse(step === 'retry' ? this.#lastRefusal : step);
 				return;
@@ -215,9 +217,9 @@
 	}
 
 	/** Returns whether the call may be sent to another node, apart from the retry budget. The rest of a large body can be sent only once. */
-	#canRetry(route: Route, attempts: number): boolean {
+	#canRetry(retries: CallRetries): boolean {
 		const hasBody = !(this.#body instanceof LargeBody) || (this.#inFlight.isEmpty && !this.#body.isTaken);
-		return hasBody && !this.#cancellation.isCancelled && canRetry(route, {attempts, possibleRuns: this.#counts.possibleRuns, timeLeft: this.#timeLeft});
+		return retries.canRetry({hasBody, isCancelled: this.#cancellation.isCancelled, timeLeft: this.#timeLeft});
 	}
 
 	/** Milliseconds since the arrival of the call. */
--- a/packages/upstreams/src/sidecar-call.ts
+++ b/packages/upstreams/src/sidecar-call.ts
@@ -180,7 +180,13 @@
 		this.#request.onAdmitted();
 		try {
 			await this.#checkAfterWait(admittedFrom);
-			return await this.#runAdmitted();
+			const admittedAt = clock.now();
+			const result = await this.#runAdmitted();
+			if (result.kind !== 'refused') {
+				this.#recordSummary('run', {transit: times.transit, wait: admittedAt - admittedFrom, slot: clock.now() - admittedAt});
+			}
+
+			return result;
 		} finally {
 			admission.release();
 		}
@@ -191,6 +197,7 @@
 		const {decisionLog, localUpstream, protocol, refusalMetrics} = this.#dependencies;
 		const {incoming, sender, organisation, priority, objective, times} = this.#request;
 		refusalMetrics?.recordRefusal(refusal.cause, refusal.outcome);
+		this.#recordSummary(refusal.cause, {transit: times.transit, refused: times.duration});
 		decisionLog.record({
 			id: protocol.readRequestId(incoming.headers),
 			service: localUpstream.status.value.service,
@@ -210,6 +217,10 @@
 		return {kind: 'refused', refusal};
 	}
 
+	#recordSummary(outcome: string, durations: Readonly<Record<string, number>>): void {
+		this.#dependencies.decisionLog.summaries.record(this.#request.route, outcome, durations);
+	}
+
 	/** Cancels a call that waited for a slot if its client has closed the connection meanwhile: the end may have arrived together with what made the slot free. */
 	async #checkAfterWait(admittedFrom: number): Promise<void> {
 		const {incoming, cancellation} = this.#request;
