--- a/packages/stand-ins/src/emulated-load.ts
+++ b/packages/stand-ins/src/emulated-load.ts
@@ -22,6 +22,9 @@
 	/** Times at which upstreams are slow. */
 	readonly slowdowns?: readonly Slowdown[];
 
+	/** Times at which upstreams refuse requests. */
+	readonly refusals?: readonly UpstreamRefusals[];
+
 	/** Share of the slots from which on more runs at the same time only take longer, so that the throughput stays the same. */
 	readonly contentionFrom?: number;
 
@@ -52,6 +55,26 @@
 	readonly factor: number;
 };
 
+/** A time during which upstreams refuse a part of their requests at once, without running them, although they have free slots. */
+export type UpstreamRefusals = {
+	/** Indices of the upstreams. */
+	readonly upstreams: readonly number[];
+	readonly from: number;
+	readonly to: number;
+
+	/** Probability that a request is refused. */
+	readonly share: number;
+};
+
+/** What all entry nodes together may send again after an upstream has refused it. */
+export type EmulatedRetryBudget = {
+	/** Retries for each call. */
+	readonly ratio: number;
+
+	/** Retries of all nodes together beyond that, divided evenly among them. */
+	readonly slack: number;
+};
+
 /** Variation of the demand, out of phase between data centres. */
 export type DemandWave = {
 	/** Largest deviation as a share of the mean. */
@@ -98,6 +121,9 @@
 	/** Milliseconds during which callers start calls. */
 	readonly duration: number;
 
+	/** Retry budget of the entry nodes; that of a node by default if undefined. */
+	readonly retryBudget?: EmulatedRetryBudget;
+
 	/** Milliseconds after which upstreams name their limits. */
 	readonly limitsFrom?: number;
 
--- a/packages/stand-ins/src/load-emulator.ts
+++ b/packages/stand-ins/src/load-emulator.ts
@@ -3,12 +3,13 @@
  * upstreams that call each other. Admission control and the choice of targets are the
  * code that nodes run.
  */
-import {chooseInteger, type Clock, type Random} from '@ebonylead/base/base.js';
+import {chooseInteger, type Random} from '@ebonylead/base/base.js';
 import {SeededRandom} from '@ebonylead/base/random.js';
 import {CapacityLearner} from '@ebonylead/capacity/capacity-learner.js';
 import {loadBalancings} from '@ebonylead/capacity/capacity.js';
 import {FinishRanking} from '@ebonylead/callers/finish-ranking.js';
 import {type LocalTarget} from '@ebonylead/callers/local-preference.js';
+import {RetryBudget} from '@ebonylead/callers/retry-budget.js';
 import {TargetChooser} from '@ebonylead/callers/target-chooser.js';
 import {MemberState, UpstreamState, type Member} from '@ebonylead/peers/generated/peers.js';
 import {Membership} from '@ebonylead/peers/membership.js';
@@ -18,11 +19,11 @@
 import {Cancellation} from '@ebonylead/upstreams/cancellation.js';
 import {OrganisationShares} from '@ebonylead/upstreams/organisation-shares.js';
 import {runOutcomes} from '@ebonylead/upstreams/run-observer.js';
-import {EmulatedSpeed} from './emulated-speed.js';
 import {
 	type CallClass, type CallClassResult, type EmulatedLoad, type EmulatedService, type LimitUsage,
 } from './emulated-load.js';
 import {EmulatedOrganisations} from './emulated-organisations.js';
+import {EmulatedVm, type EmulatedNode} from './emulated-vm.js';
 import {EventClock} from './event-clock.js';
 
 export {
@@ -39,19 +40,8 @@
 	readonly retryAfter?: number;
 };
 
-/** A VM: the choice of targets and the admission of its node, and the speed of its upstream. */
-type Vm = {
-	readonly chooser: TargetChooser;
-	readonly admission: AdmissionControl;
-	readonly learner: CapacityLearner;
-	readonly speed: EmulatedSpeed;
-	readonly dataCentre: string;
-
-	/** Limit of the upstream in requests per second. */
-	readonly limit: number | undefined;
-	readonly arrivals: number[];
-	limitNamedAt: number;
-};
+/** The part of a node that calls of callers pass. */
+type EntryNode = Pick<EmulatedNode, 'chooser' | 'retryBudget'>;
 
 /** One-way latency between two nodes unless the load sets that between data centres. */
 const hopLatencyMs = 1;
@@ -71,22 +61,28 @@
 /** Time after the last start of a call, for the calls in flight to end. */
 const drainTimeMs = 20_000;
 
-/** Length of the windows in which the requests of an upstream with a limit are counted. */
-const limitWindowMs = 4000;
-const millisecondsPerSecond = 1000;
+/** Time in which an upstream refuses a request. */
+const upstreamRefusalMs = 1;
+
+/** Retry delay that the sidecar advises after that. */
+const upstreamRefusalRetryAfterMs = 200;
 
 /** Distance of the seeds of two services; more than a service has upstreams. */
 const upstreamSeeds = 10_000;
 
+/** Distance of the seeds of the load and of the retry budgets. */
+const budgetSeeds = 2_000_000;
+
 /** Emulates one load with one seed. */
 export class LoadEmulator {
 	readonly organisations: EmulatedOrganisations | undefined;
 	readonly #load: EmulatedLoad;
 	readonly #clock: EventClock;
 	readonly #random: Random;
+	readonly #budgetRandom: Random;
 	readonly #membership = new Membership();
-	readonly #vms: Vm[] = [];
-	readonly #vmsById = new Map<string, Vm>();
+	readonly #vms: EmulatedVm[] = [];
+	readonly #vmsById = new Map<string, EmulatedVm>();
 	readonly #routes = new Map<string, Route>();
 	readonly #results = new Map<string, CallClassResult>();
 	#attempts = 0;
@@ -100,9 +96,10 @@
 		this.organisations = load.organisations && new EmulatedOrganisations(load.organisations);
 		this.#clock = new EventClock();
 		this.#random = new SeededRandom(seed);
-		const sharedChooser = load.isEntryAtEachVm ? undefined : this.#createChooser('a');
+		this.#budgetRandom = new SeededRandom(seed + budgetSeeds);
+		const sharedEntry = load.isEntryAtEachVm ? undefined : this.#createEntry('a', 1);
 		for (const [index, service] of load.services.entries()) {
-			this.#addService(service, sharedChooser, seed + (index * upstreamSeeds));
+			this.#addService(service, sharedEntry, seed + (index * upstreamSeeds));
 		}
 
 		const lines = load.classes.map(({name, service}) => `ANY a.example/${name}/** -> ${service} # A`);
@@ -146,7 +143,7 @@
 
 	/** Learnt limit of each upstream, by its identifier. */
 	get learntLimits(): ReadonlyMap<string, number> {
-		return new Map([...this.#vmsById].map(([id, {learner}]) => [id, learner.limit]));
+		return new Map([...this.#vmsById].map(([id, {node}]) => [id, node.learner.limit]));
 	}
 
 	/** Share of the attempts at the upstream on the VM of their entry node. */
@@ -159,64 +156,59 @@
 		return new Map([...this.#vmsById].map(([id, {arrivals}]) => [id, arrivals.length]));
 	}
 
+	/** Counts the requests that each upstream has refused. */
+	countRefusals(): ReadonlyMap<string, number> {
+		return new Map([...this.#vmsById].map(([id, {refusalCount}]) => [id, refusalCount]));
+	}
+
 	/** Lists what each upstream with a limit got. */
 	listLimitUsages(): LimitUsage[] {
-		return [...this.#vmsById].flatMap(([upstream, {limit, arrivals, limitNamedAt}]) => {
-			if (limit === undefined) {
-				return [];
-			}
-
-			const counted = arrivals.filter(arrival => arrival >= limitNamedAt);
-			const worst = Math.max(0, ...counted.map(start => counted.filter(arrival => arrival >= start && arrival < start + limitWindowMs).length));
-			return [{
-				upstream, allowed: limit * limitWindowMs / millisecondsPerSecond, worst, runs: arrivals.length,
-			}];
-		});
+		return [...this.#vmsById].map(([id, vm]) => vm.computeLimitUsage(id)).filter(usage => usage !== undefined);
 	}
 
 	get #dataCentres(): ReadonlySet<string> {
-		return new Set(this.#vms.map(vm => vm.dataCentre));
+		return new Set(this.#vms.map(vm => vm.node.dataCentre));
 	}
 
-	#createChooser(dataCentre: string, local?: LocalTarget): TargetChooser {
-		const isLearnt = this.#load.loadBalancing === loadBalancings.learnt;
-		return new TargetChooser(this.#membership, dataCentre, this.#clock, this.#random, undefined, {
-			local, createRanking: isLearnt ? dependencies => new FinishRanking(dependencies) : undefined,
-		});
+	/** @param nodes Number of entry nodes, which share the slack of the retry budget. */
+	#createEntry(dataCentre: string, nodes: number, local?: LocalTarget): EntryNode {
+		const {loadBalancing, retryBudget} = this.#load;
+		const isLearnt = loadBalancing === loadBalancings.learnt;
+		return {
+			chooser: new TargetChooser(this.#membership, dataCentre, this.#clock, this.#random, undefined, {
+				local, createRanking: isLearnt ? dependencies => new FinishRanking(dependencies) : undefined,
+			}),
+			retryBudget: new RetryBudget(retryBudget?.ratio, retryBudget && (() => retryBudget.slack / nodes), this.#clock, this.#budgetRandom),
+		};
 	}
 
-	#addService(service: EmulatedService, sharedChooser: TargetChooser | undefined, seed: number): void {
+	#addService(service: EmulatedService, sharedEntry: EntryNode | undefined, seed: number): void {
 		const {
-			name, slots, speeds, limits = [], dataCentres = [], readyFrom = [],
+			name, slots, speeds, dataCentres = [], readyFrom = [],
 		} = service;
-		const clock: Clock = this.#clock;
+		const nodes = this.#load.services.reduce((sum, other) => sum + other.speeds.length, 0);
 		for (const index of speeds.keys()) {
 			const id = `${name}-${index}`;
 			const dataCentre = dataCentres[index] ?? 'a';
-			const admission = new AdmissionControl(clock, slots);
+			const admission = new AdmissionControl(this.#clock, slots);
 			if (this.organisations && !this.#load.areSharesIgnored) {
 				admission.setQueueShares(new OrganisationShares(name => this.organisations!.getWeight(name)));
 			}
 
 			const local = this.#load.isLocalPreferred ? {id, getLoad: () => admission.load} : undefined;
-			const vm: Vm = {
-				chooser: sharedChooser ?? this.#createChooser(dataCentre, local),
-				admission,
-				learner: new CapacityLearner({
-					clock,
-					getAnnounced: () => ({slots, incarnation: id}),
-					onLimit: limit => {
-						if (this.#load.isLimitLearnt) {
-							admission.setSlots(limit);
-						}
-					},
-				}),
-				speed: new EmulatedSpeed(service, index, seed + index),
-				dataCentre,
-				limit: limits[index] ?? undefined,
-				arrivals: [],
-				limitNamedAt: Number.POSITIVE_INFINITY,
-			};
+			const learner = new CapacityLearner({
+				clock: this.#clock,
+				getAnnounced: () => ({slots, incarnation: id}),
+				onLimit: limit => {
+					if (this.#load.isLimitLearnt) {
+						admission.setSlots(limit);
+					}
+				},
+			});
+			const entry = sharedEntry ?? this.#createEntry(dataCentre, nodes, local);
+			const vm = new EmulatedVm({
+				...entry, admission, learner, dataCentre,
+			}, service, index, seed + index);
 			this.#vms.push(vm);
 			this.#vmsById.set(id, vm);
 			void this.#addMember(readyFrom[index] ?? 0, {
@@ -235,7 +227,7 @@
 
 	/** Starts the calls of a class at the entry nodes of a data centre. */
 	async #startCalls(callClass: CallClass, dataCentre: string): Promise<void> {
-		const vms = this.#vms.filter(vm => vm.dataCentre === dataCentre);
+		const vms = this.#vms.filter(vm => vm.node.dataCentre === dataCentre);
 		const {amplitude, period} = this.#load.wave ?? {amplitude: 0, period: 1};
 		const phase = [...this.#dataCentres].indexOf(dataCentre) / this.#dataCentres.size;
 		const meanIntervalMs = 1000 / (callClass.rate * (1 + amplitude) * vms.length / this.#vms.length);
@@ -249,8 +241,8 @@
 	}
 
 	/** Runs one call of a caller, and sends it again after refusals. */
-	async #runCallerCall(callClass: CallClass, vms: readonly Vm[]): Promise<void> {
-		const results = [this.#results.get(callClass.name)!, this.#localResults.get(`${callClass.name} ${vms[0]!.dataCentre}`)!];
+	async #runCallerCall(callClass: CallClass, vms: readonly EmulatedVm[]): Promise<void> {
+		const results = [this.#results.get(callClass.name)!, this.#localResults.get(`${callClass.name} ${vms[0]!.node.dataCentre}`)!];
 		const organisation = this.organisations?.choose(this.#random);
 		const startedAt = this.#clock.now();
 		const end = startedAt + (callClass.deadline * 2);
@@ -287,11 +279,13 @@
 	}
 
 	/** Sends a call once, with attempts at one node after the other until one admits it. */
-	async #sendCall({chooser, dataCentre}: Vm, callClass: CallClass, objective: number, deadline: number, organisation?: string): Promise<Outcome> {
+	async #sendCall({node: {chooser, retryBudget, dataCentre}}: EmulatedVm, callClass: CallClass, objective: number, deadline: number, organisation?: string): Promise<Outcome> {
 		const route = this.#routes.get(callClass.name)!;
 		const attemptedIds = new Set<string>();
 		const startedAt = this.#clock.now();
 		let retryAfter = 0;
+		let hasReachedUpstream = false;
+		retryBudget.recordCall(callClass.service);
 		while (attemptedIds.size < maxAttempts && this.#clock.now() < deadline) {
 			const member = chooser.choose(callClass.service, route, attemptedIds, this.#clock.now() + callClass.objective - objective);
 			if (member === undefined) {
@@ -299,22 +293,22 @@
 				break;
 			}
 
+			if (hasReachedUpstream && !retryBudget.admitRetry(callClass.service)) {
+				break;
+			}
+
 			attemptedIds.add(member.id);
 			this.#attempts++;
-			this.#localAttempts += this.#vmsById.get(member.id)!.chooser === chooser ? 1 : 0;
+			const vm = this.#vmsById.get(member.id)!;
+			this.#localAttempts += vm.node.chooser === chooser ? 1 : 0;
 			chooser.recordStart(member);
 			const latency = dataCentre === member.dataCentre ? hopLatencyMs : this.#load.dataCentreLatency ?? hopLatencyMs;
 			await this.#clock.sleep(latency);
-			const vm = this.#vmsById.get(member.id)!;
 			const admission = await this.#admit(vm, callClass, objective, deadline, organisation);
-			const outcome = admission.kind === 'admitted' ? await this.#runCall(vm, callClass, deadline) : undefined;
-			if (admission.kind === 'admitted') {
-				admission.release();
-			}
-
-			const header = vm.learner.formatReport(route.key);
+			const outcome = admission.kind === 'admitted' ? await this.#runAdmitted(vm, callClass, deadline, admission) : undefined;
+			const header = vm.node.learner.formatReport(route.key);
 			await this.#clock.sleep(latency);
-			chooser.recordEnd(member, false, vm.admission.load);
+			chooser.recordEnd(member, false, vm.node.admission.load);
 			chooser.recordCapacity(member, route.key, header);
 			if (outcome !== undefined) {
 				return outcome;
@@ -325,37 +319,53 @@
 				if (admission.refusal.lacking !== undefined) {
 					chooser.recordCapacityRefusal(member, route, admission.refusal);
 				}
+			} else {
+				hasReachedUpstream = true;
+				retryAfter = upstreamRefusalRetryAfterMs;
 			}
 		}
 
 		return {kind: 'refused', waited: this.#clock.now() - startedAt, retryAfter};
 	}
 
-	async #admit(vm: Vm, callClass: CallClass, objective: number, deadline: number, organisation: string | undefined): Promise<Admission> {
-		return vm.admission.admit({
+	/** Sends an admitted call to the upstream; returns nothing if that refuses it. */
+	async #runAdmitted(vm: EmulatedVm, callClass: CallClass, deadline: number, {release}: Extract<Admission, {kind: 'admitted'}>): Promise<Outcome | undefined> {
+		if (vm.isRefusing(this.#clock.now())) {
+			await this.#clock.sleep(upstreamRefusalMs);
+			release();
+			return undefined;
+		}
+
+		const outcome = await this.#runCall(vm, callClass, deadline);
+		release();
+		return outcome;
+	}
+
+	async #admit({node}: EmulatedVm, callClass: CallClass, objective: number, deadline: number, organisation: string | undefined): Promise<Admission> {
+		return node.admission.admit({
 			caller: 'c', organisation, deadline, objective, priority: callClass.rank, route: callClass.name, routeSlots: undefined, cancellation: new Cancellation(),
 		});
 	}
 
 	/** Sends the node of a VM the limit of its upstream, as the response to a call does. */
-	#sendLimit(vm: Vm): void {
+	#sendLimit(vm: EmulatedVm): void {
 		const now = this.#clock.now();
 		if (vm.limit === undefined || now < (this.#load.limitsFrom ?? 0)) {
 			return;
 		}
 
 		vm.limitNamedAt = Math.min(vm.limitNamedAt, now);
-		if (!this.#load.areLimitsIgnored && vm.admission.rateLimit === undefined) {
-			vm.admission.setRateLimit(vm.limit);
+		if (!this.#load.areLimitsIgnored && vm.node.admission.rateLimit === undefined) {
+			vm.node.admission.setRateLimit(vm.limit);
 		}
 	}
 
 	/** Runs an admitted call: half of its work, its calls to other services, and the other half. */
-	async #runCall(vm: Vm, callClass: CallClass, deadline: number): Promise<Outcome> {
+	async #runCall(vm: EmulatedVm, callClass: CallClass, deadline: number): Promise<Outcome> {
 		const result = this.#results.get(callClass.name)!;
 		const work = callClass.work * (1 - workSpread + (this.#random.next() * 2 * workSpread));
 		const startedAt = this.#clock.now();
-		const concurrency = vm.admission.running;
+		const concurrency = vm.node.admission.running;
 		result.runs++;
 		vm.arrivals.push(startedAt);
 		await this.#clock.sleep(work / 2 / vm.speed.compute(startedAt, concurrency));
@@ -369,8 +379,8 @@
 			}
 		}
 
-		await this.#clock.sleep(work / 2 / vm.speed.compute(this.#clock.now(), vm.admission.running));
-		vm.learner.recordRun({
+		await this.#clock.sleep(work / 2 / vm.speed.compute(this.#clock.now(), vm.node.admission.running));
+		vm.node.learner.recordRun({
 			route: this.#routes.get(callClass.name)!.key, outcome: runOutcomes.success, duration: this.#clock.now() - startedAt, concurrency,
 		});
 		this.#sendLimit(vm);
