--- a/packages/node/src/test/fleet-links.ts
+++ b/packages/node/src/test/fleet-links.ts
@@ -39,7 +39,7 @@
 	}
 
 	async readTable(table: string): Promise<RowPage> {
-		return this.#transfer(async () => this.#store.readTable(table), storeTimeoutMs);
+		return this.#transfer(async () => this.#store.readTable(table), storeTimeoutMs, () => this.#isCut);
 	}
 
 	async waitForChanges(table: string, after: number, signal: AbortSignal, maxWait = feedWaitMs): Promise<RowPage> {
@@ -53,7 +53,7 @@
 			return await this.#transfer(async () => {
 				void this.#clock.sleep(maxWait, waited.signal).then(stop);
 				return this.#store.waitForChanges(table, after, waited.signal);
-			}, maxWait + storeTimeoutMs);
+			}, maxWait + storeTimeoutMs, () => this.#isCut || this.#store.areFeedsSilent);
 		} finally {
 			signal.removeEventListener('abort', stop);
 			stop();
@@ -64,12 +64,12 @@
 		throw new StepError('write row', 'store', 'not used');
 	}
 
-	async #transfer(read: () => Promise<RowPage>, timeout: number): Promise<RowPage> {
+	async #transfer(read: () => Promise<RowPage>, timeout: number, isLost: () => boolean): Promise<RowPage> {
 		const node = this.#getNode();
 		await this.#clock.sleep(latencyMs);
-		const wasCut = this.#isCut;
-		const page = wasCut ? undefined : await read();
-		if (page === undefined || this.#isCut) {
+		const wasLost = isLost();
+		const page = wasLost ? undefined : await read();
+		if (page === undefined || isLost()) {
 			await this.#clock.sleep(timeout);
 			throw new StepError('read', 'store', 'no answer');
 		}
--- a/packages/node/src/test/rules-fleet_test.ts
+++ b/packages/node/src/test/rules-fleet_test.ts
@@ -146,6 +146,9 @@
 });
 
 describe('spreading of versions while the store does not answer', () => {
+	/** A store that reorganises its history answers no waiting request for about that long. */
+	const silenceMs = 1200;
+
 	it('to one node, that node gets versions from its reader', async t => {
 		await withFleet(fleets[0]!, async fleet => {
 			const node = fleet.nodes.find(found => !found.ranking.isReader && !found.ranking.isStandby)!;
@@ -202,6 +205,21 @@
 		});
 	});
 
+	it('to requests that wait for changes and then has no history, only the readers read all rules', async t => {
+		await withFleet(fleets[0]!, async fleet => {
+			const readers = new Set(fleet.listReaders());
+			fleet.store.areFeedsSilent = true;
+			await fleet.advance(100);
+			fleet.writeVersion();
+			await fleet.advance(silenceMs - 100);
+			fleet.store.removeHistory();
+			fleet.store.areFeedsSilent = false;
+			await fleet.advance(maxDelayMs);
+			t.deepEqual(fleet.listBehind(), []);
+			t.deepEqual(fleet.nodes.filter(node => node.counters.storeBytes > 0 && !readers.has(node)).map(node => node.id), []);
+		});
+	});
+
 	it('at all, a new node starts with the rules of its peers', async t => {
 		const fleet = new RulesFleet(fleets[0]!);
 		fleet.writeVersion();
--- a/packages/stand-ins/src/fake-row-store.ts
+++ b/packages/stand-ins/src/fake-row-store.ts
@@ -14,6 +14,9 @@
 	/** Whether every operation fails without an effect. */
 	isDown = false;
 
+	/** Whether requests that wait for changes get no response, while all others do; applied by the links of a fleet. */
+	areFeedsSilent = false;
+
 	/** Number of further writes that take effect, but whose responses are lost. */
 	lostResponses = 0;
 	#rows = new Map<string, SharedRow>();
