--- a/packages/stand-ins/src/load-emulator.ts
+++ b/packages/stand-ins/src/load-emulator.ts
@@ -15,7 +15,8 @@
 import {Membership} from '@ebonylead/peers/membership.js';
 import {RouteTable, type Route} from '@ebonylead/rules/route-table.js';
 import {parseRuleFile} from '@ebonylead/rules/rule-file.js';
-import {AdmissionControl, type Admission} from '@ebonylead/upstreams/admission.js';
+import {AdmissionControl} from '@ebonylead/upstreams/admission.js';
+import {type Admission} from '@ebonylead/upstreams/admission-request.js';
 import {Cancellation} from '@ebonylead/upstreams/cancellation.js';
 import {OrganisationShares} from '@ebonylead/upstreams/organisation-shares.js';
 import {runOutcomes} from '@ebonylead/upstreams/run-observer.js';
--- a/packages/upstreams/src/admission-queue.ts
+++ b/packages/upstreams/src/admission-queue.ts
@@ -1,5 +1,5 @@
 /** The calls that wait for a slot of an upstream, and their order. */
-import {type Admission, type AdmissionRequest} from './admission.js';
+import {type Admission, type AdmissionRequest} from './admission-request.js';
 import {CallerTurns, type QueueShares} from './queue-shares.js';
 
 /** A call that waits for a slot. */
--- a/packages/upstreams/src/admission.ts
+++ b/packages/upstreams/src/admission.ts
@@ -2,49 +2,14 @@
 import {type Clock} from '@ebonylead/base/base.js';
 import {buildAdmissionRefusal, type AdmissionRefusalCause} from './admission-refusals.js';
 import {AdmissionQueue, type QueuedCall} from './admission-queue.js';
-import {type Cancellation} from './cancellation.js';
+import {type Admission, type AdmissionRequest} from './admission-request.js';
 import {type QueueShares} from './queue-shares.js';
 import {RateLimit} from './rate-limit.js';
 import {RunningCalls} from './running-calls.js';
 import {PriorityUsage, ServiceTimes} from './service-times.js';
-import {refusalCauses, type SidecarRefusal} from './upstreams.js';
+import {refusalCauses} from './upstreams.js';
 import {WaitEstimator} from './wait-estimator.js';
 
-/** A call that needs a slot of the upstream. */
-export type AdmissionRequest = {
-	/** Name of the caller; queued callers get slots in round robin. */
-	readonly caller: string;
-
-	/** Name of the organisation whose call it is; undefined on public routes, and where there are no organisations. */
-	readonly organisation?: string;
-
-	/** Monotonic time in milliseconds by which the call must have ended. */
-	readonly deadline: number;
-
-	/** Monotonic time in milliseconds by which the call should end to meet its latency objective. */
-	readonly objective: number;
-
-	/** Priority of the call; 0 is the highest. */
-	readonly priority: number;
-
-	/** Key of the matching rule. */
-	readonly route: string;
-
-	/** Maximum number of concurrent calls of the route; undefined for no limit of its own. */
-	readonly routeSlots: number | undefined;
-
-	/** Whether the call must run while no other call does, because an equal request was in flight when an upstream crashed. */
-	readonly isExclusive?: boolean;
-
-	/** Removes the call from the queue when its caller disconnects or its deadline passes. */
-	readonly cancellation: Cancellation;
-};
-
-/** The decision on a call: a slot to be released when the call ends, or a refusal. */
-export type Admission
-	= | {readonly kind: 'admitted'; readonly release: () => void}
-		| {readonly kind: 'refused'; readonly refusal: SidecarRefusal};
-
 /** Load in calls per slot that is reported after `close`, while the upstream is draining or absent. */
 const closedLoad = 1000;
 
--- a/packages/upstreams/src/organisation-shares.ts
+++ b/packages/upstreams/src/organisation-shares.ts
@@ -1,5 +1,5 @@
 /** Fair queueing over organisations. */
-import {type AdmissionRequest} from './admission.js';
+import {type AdmissionRequest} from './admission-request.js';
 import {type QueuedCall} from './admission-queue.js';
 import {CallerTurns, type QueueShares} from './queue-shares.js';
 
--- a/packages/upstreams/src/queue-shares.ts
+++ b/packages/upstreams/src/queue-shares.ts
@@ -1,5 +1,5 @@
 /** How the slots of an upstream are divided among those that the queued calls are made for. */
-import {type AdmissionRequest} from './admission.js';
+import {type AdmissionRequest} from './admission-request.js';
 import {type QueuedCall} from './admission-queue.js';
 
 /** A division of the slots; `CallerTurns` and `OrganisationShares` implement it. */
--- a/packages/upstreams/src/test/admission-helpers.ts
+++ b/packages/upstreams/src/test/admission-helpers.ts
@@ -1,6 +1,7 @@
 /** Helpers of the tests of admission control. */
 import {Cancellation} from '../cancellation.js';
-import {type AdmissionControl, type Admission, type AdmissionRequest} from '../admission.js';
+import {type AdmissionControl} from '../admission.js';
+import {type Admission, type AdmissionRequest} from '../admission-request.js';
 
 const farDeadline = 1_000_000;
 
--- a/packages/upstreams/src/test/admission_test.ts
+++ b/packages/upstreams/src/test/admission_test.ts
@@ -1,7 +1,8 @@
 import {describe, it} from '@ebonylead/stand-ins/describe.js';
 import {FakeClock} from '@ebonylead/stand-ins/fake-clock.js';
 import {Cancellation} from '../cancellation.js';
-import {AdmissionControl, type Admission} from '../admission.js';
+import {AdmissionControl} from '../admission.js';
+import {type Admission} from '../admission-request.js';
 import {
 	buildRequest, release, submit, waitForImmediate,
 } from './admission-helpers.js';
--- a/packages/upstreams/src/wait-estimator.ts
+++ b/packages/upstreams/src/wait-estimator.ts
@@ -1,6 +1,6 @@
 /** Estimates how long calls wait for a slot of an upstream and for a token of its limit. */
 import {type Clock} from '@ebonylead/base/base.js';
-import {type AdmissionRequest} from './admission.js';
+import {type AdmissionRequest} from './admission-request.js';
 import {type AdmissionQueue, type QueuedCall} from './admission-queue.js';
 import {type RateLimit} from './rate-limit.js';
 import {type RunningCalls} from './running-calls.js';
