Don't take refusals at once for free capacity

Cause: a refused request frees its slot after a millisecond. The load that the sidecar reports stayed low and the learnt time of a call fell, so that entry nodes sent such an upstream as many requests as the others, and more. The retry budget was spent first come, first served, so that the calls of running upstreams, whose refusal wastes the run, ended after one attempt. Class of fault: a fast failure looks like free capacity. Fix: the sidecar measures which share of its requests the upstream accepts, reports it, and leaves refused ones out of its estimates. A quarter of the retry budget is kept for nested calls, on services that get any.

--- a/packages/bench/src/choice-bench.ts
+++ b/packages/bench/src/choice-bench.ts
@@ -60,7 +60,7 @@
 			}
 		});
 		const order = measure(() => {
-			ranking.choose({all: members, preferred}, {route, elapsed: 0});
+			ranking.choose({all: members, preferred}, {route, elapsed: 0, isNested: false});
 		});
 		console.log(`${size} upstreams, ${name}: order of candidates ${order.toFixed(2)} us, whole choice with a report in three ${full.toFixed(2)} us`);
 	}
--- a/packages/callers/src/attempt-refusals.ts
+++ b/packages/callers/src/attempt-refusals.ts
@@ -8,6 +8,8 @@
 /** Retry delay in milliseconds of the refusals by this node. */
 export const defaultRetryAfterMs = 200;
 
+const statusBadRequest = 400;
+const statusNotFound = 404;
 const statusTooManyRequests = 429;
 const statusBadGateway = 502;
 const statusUnavailable = 503;
@@ -19,6 +21,23 @@
 	};
 }
 
+/** Builds the refusal of a call whose target can't be read. */
+export function buildBadRequestRefusal(reason: string): Refusal {
+	return {status: statusBadRequest, outcome: outcomes.notRun, reason};
+}
+
+/** Builds the refusal of a call that no rule matches. */
+export function buildNoRuleRefusal(reason: string): Refusal {
+	return {status: statusNotFound, outcome: outcomes.notRun, reason};
+}
+
+/** Builds the refusal of a call that no upstream has run; the retry delay is in milliseconds. */
+export function buildNotRunRefusal(reason: string, retryAfter?: number, hasReachedUpstream?: boolean): Refusal {
+	return {
+		status: statusUnavailable, outcome: outcomes.notRun, reason, retryAfter, hasReachedUpstream,
+	};
+}
+
 /** Builds the refusal of a call to a service without a ready upstream. */
 export function buildNoUpstreamRefusal(service: string): Refusal {
 	return {
@@ -47,6 +66,12 @@
 	};
 }
 
+/** Reads the share of its requests that an upstream accepts, as its sidecar reported it; 1 if it reported none. */
+export function readAcceptance(headers: ResponseHeaders): number {
+	const share = Number(headers[meshHeaders.acceptance] ?? 1);
+	return share >= 0 && share < 1 ? share : 1;
+}
+
 /**
  * Builds the response in place of an upstream's. It says that the call did not run only if no attempt may have run, and so does the status 503. The retry delay is
  * random, so that callers that were refused together return apart.
--- a/packages/callers/src/call-retries.ts
+++ b/packages/callers/src/call-retries.ts
@@ -19,6 +19,9 @@
 	/** Number of the attempt on behalf of which the call was made; 1 if that was no retry. */
 	readonly inheritedAttempt: number;
 	readonly counts: AttemptCounts;
+
+	/** Whether an upstream has probably made the call while it processes another one. */
+	readonly isNested: boolean;
 };
 
 /** State of the call that changes between its attempts. */
@@ -75,8 +78,8 @@
 	 */
 	admit(): boolean {
 		const {metrics, retryBudget} = this.#dependencies;
-		const {service, inheritedAttempt, counts} = this.#call;
-		const isAdmitted = counts.reachedUpstreams === 0 || (inheritedAttempt === 1 && retryBudget.admitRetry(service));
+		const {service, inheritedAttempt, counts, isNested} = this.#call;
+		const isAdmitted = counts.reachedUpstreams === 0 || (inheritedAttempt === 1 && retryBudget.admitRetry(service, isNested));
 		if (isAdmitted) {
 			metrics.recordRetry(service);
 		} else {
--- a/packages/callers/src/call.ts
+++ b/packages/callers/src/call.ts
@@ -10,9 +10,12 @@
 import {LargeBody} from '@ebonylead/upstreams/large-body.js';
 import {discardBody, type RequestBody} from '@ebonylead/upstreams/request-body.js';
 import {readPositiveInteger} from '@ebonylead/upstreams/request-headers.js';
+import {isShortCall} from '@ebonylead/upstreams/short-calls.js';
 import {meshHeaders, outcomes, type Refusal} from '@ebonylead/upstreams/upstreams.js';
 import {chooseService} from './service-split.js';
-import {buildFinalRefusal, buildNoUpstreamRefusal, defaultRetryAfterMs} from './attempt-refusals.js';
+import {
+	buildBadRequestRefusal, buildFinalRefusal, buildNoRuleRefusal, buildNotRunRefusal, buildNoUpstreamRefusal, defaultRetryAfterMs,
+} from './attempt-refusals.js';
 import {type Attempt, type AttemptResult, type RejectedAttempt} from './attempt.js';
 import {createAttempt} from './attempt-creation.js';
 import {AttemptCounts, type AttemptEffect} from './attempt-counts.js';
@@ -30,10 +33,7 @@
 /** Number of crashed upstreams after which a call that may have been the cause is not retried. */
 const maxCrashes = 2;
 
-const statusBadRequest = 400;
-const statusNotFound = 404;
 const statusBadGateway = 502;
-const statusUnavailable = 503;
 
 /** What follows an attempt: the call is done, may be retried, or ends with a refusal. A refusal waits for the other attempts in flight. */
 type NextStep = 'done' | 'retry' | Refusal;
@@ -61,14 +61,16 @@
 
 	/** Estimated time in milliseconds from the caller's first attempt at this call to its arrival here. */
 	#age = 0;
+
+	/** Whether an upstream has probably made the call while it processes another one. */
+	#isNested = false;
 	#service = '';
 	readonly #record = new CallRecord();
 	readonly #quarantine: CallQuarantine;
 	readonly #quota: CallQuota;
 	readonly #bodies: CallerBodies;
 	#body: RequestBody;
-
-	#lastRefusal: Refusal = {status: statusUnavailable, outcome: outcomes.notRun, reason: 'no try was made'};
+	#lastRefusal = buildNotRunRefusal('no try was made');
 
 	constructor(dependencies: CallerListenerDependencies, bodies: CallerBodies, request: IncomingMessage, response: ServerResponse) {
 		this.#dependencies = dependencies;
@@ -86,7 +88,7 @@
 		const target = this.#dependencies.protocol.readTarget(this.#request);
 		await target.caseOf({
 			Left: async reason => {
-				this.#refuse({status: statusBadRequest, outcome: outcomes.notRun, reason});
+				this.#refuse(buildBadRequestRefusal(reason));
 			},
 			Right: async found => this.#runForTarget(found),
 		});
@@ -110,7 +112,7 @@
 	async #runForTarget(target: RequestTarget): Promise<void> {
 		const route = this.#activeSnapshot.routeTable.findRoute({method: this.#request.method ?? 'GET', headers: this.#request.headers, ...target});
 		if (route === undefined) {
-			this.#refuse({status: statusNotFound, outcome: outcomes.notRun, reason: `no rule of version ${this.#version} matches ${this.#request.method} ${target.host}${target.path}`});
+			this.#refuse(buildNoRuleRefusal(`no rule of version ${this.#version} matches ${this.#request.method} ${target.host}${target.path}`));
 			this.#recordUnsuccessfulCall(undefined);
 			return;
 		}
@@ -126,6 +128,7 @@
 		const callerDeadline = this.#dependencies.protocol.readDeadline(this.#request) ?? route.rule.deadline;
 		this.#age = this.#dependencies.callAges.estimate(route.key, callerDeadline);
 		this.#deadline = Math.min(route.rule.deadline, callerDeadline);
+		this.#isNested = this.#age === 0 && isShortCall(this.#deadline, route.rule.objective ?? this.#deadline);
 		const timer = setTimeout(() => {
 			this.#cancellation.cancel(new Error('the deadline passed'));
 		}, this.#timeLeft);
@@ -181,10 +184,10 @@
 		this.#headers = copyRequestHeaders(this.#request.headers);
 		this.#dependencies.organisationCheck.removeHeaders(this.#activeSnapshot, this.#headers);
 		this.#headers[meshHeaders.requestId] ??= this.#dependencies.protocol.readRequestId(this.#request) ?? this.#dependencies.requestIds.create();
-		this.#dependencies.retryBudget.recordCall(this.#service);
+		this.#dependencies.retryBudget.recordCall(this.#service, this.#isNested);
 		const inheritedAttempt = readPositiveInteger(this.#request, meshHeaders.attempt) ?? 1;
 		const retries = new CallRetries(this.#dependencies, {
-			service: this.#service, route, inheritedAttempt, counts: this.#counts,
+			service: this.#service, route, inheritedAttempt, counts: this.#counts, isNested: this.#isNested,
 		});
 		this.#record.setRetries(retries);
 		let step = this.#startAttempt(route, inheritedAttempt) ?? await this.#waitForStep(route);
@@ -234,7 +237,7 @@
 	/** Starts an attempt; returns a refusal if there is no upstream for it, or if it is not admitted then. */
 	#startAttempt(route: Route, attemptNumber: number, admit: () => boolean = () => true): Refusal | undefined {
 		const {chooser, requestIds} = this.#dependencies;
-		const member = chooser.choose(this.#service, route, this.#attemptedIds, this.#age + this.#elapsed);
+		const member = chooser.choose(this.#service, route, this.#attemptedIds, this.#age + this.#elapsed, this.#isNested);
 		if (member === undefined) {
 			return chooser.findCapacityRefusal(this.#service, route) ?? (this.#attemptedIds.size > 0 ? this.#lastRefusal : buildNoUpstreamRefusal(this.#service));
 		}
@@ -246,7 +249,6 @@
 		this.#attemptedIds.add(member.id);
 		const id = requestIds.create();
 		this.#counts.recordStart(id);
-		const {objective} = route.rule;
 		const attempt = createAttempt(this.#dependencies, {
 			id,
 			member,
@@ -258,7 +260,7 @@
 			organisation: this.#access.organisation?.name,
 			priority: this.#access.organisation?.priority ?? route.rule.priority,
 			attempt: attemptNumber,
-			objectiveLeft: objective === undefined ? undefined : objective - this.#age - this.#elapsed,
+			objectiveLeft: route.rule.objective === undefined ? undefined : route.rule.objective - this.#age - this.#elapsed,
 			quarantine: this.#quarantine,
 			headers: this.#headers,
 			body: this.#body,
@@ -346,9 +348,7 @@
 	#handleNotRun(attempt: Attempt, effect: AttemptEffect, reason: string, retryAfter?: number): NextStep {
 		const {hasReachedUpstream} = effect;
 		this.#counts.recordEnd(attempt.id, effect);
-		this.#lastRefusal = {
-			status: statusUnavailable, outcome: outcomes.notRun, reason, retryAfter, hasReachedUpstream,
-		};
+		this.#lastRefusal = buildNotRunRefusal(reason, retryAfter, hasReachedUpstream);
 		return 'retry';
 	}
 
--- a/packages/callers/src/candidate-ranking.ts
+++ b/packages/callers/src/candidate-ranking.ts
@@ -18,6 +18,9 @@
 
 	/** Time in milliseconds since the caller's first attempt at the call. */
 	readonly elapsed: number;
+
+	/** Whether an upstream has probably made the call while it processes another one, which a refusal wastes. */
+	readonly isNested: boolean;
 };
 
 /** By what an upstream was chosen; ages are in milliseconds, and infinite if nothing was reported. */
@@ -37,7 +40,7 @@
 /** Chooses one of the candidates; each implementation compares them by inputs of its own. */
 export type CandidateRanking = {
 	/** Estimates the load in calls per slot by which upstreams are compared. Where a ranking has no such estimate, calls are not kept on their VM. */
-	readonly estimateLoad?: (member: Member) => number;
+	readonly estimateLoad?: (member: Member, call: RankedCall) => number;
 
 	/** Chooses the upstream for an attempt; returns undefined if there is no candidate. */
 	choose(candidates: RankedCandidates, call: RankedCall): Member | undefined;
--- a/packages/callers/src/local-attempt.ts
+++ b/packages/callers/src/local-attempt.ts
@@ -61,6 +61,7 @@
 			cancellation.removeListener(this.#handleCallCancel);
 			const isInconclusive = cancellation.isCancelled || this.#isSuperseded;
 			chooser.recordEnd(member, isInconclusive ? undefined : false, localUpstream.admission.load);
+			chooser.recordAcceptance(member, localUpstream.admission.acceptance);
 			chooser.recordCapacity(member, route.key, this.#sidecar.formatCapacity?.(route.key));
 		}
 	}
--- a/packages/callers/src/remote-attempt.ts
+++ b/packages/callers/src/remote-attempt.ts
@@ -6,7 +6,7 @@
 import {meshHeaders} from '@ebonylead/upstreams/upstreams.js';
 import {type Dispatcher} from 'undici';
 import {type SilentAttempt} from './attempt-prober.js';
-import {readRefusal} from './attempt-refusals.js';
+import {readAcceptance, readRefusal} from './attempt-refusals.js';
 import {attemptVerdicts, chooseVerdict, type ProbeOutcome} from './attempt-verdict.js';
 import {
 	describeEnd, type Attempt, type AttemptOptions, type AttemptResult,
@@ -279,6 +279,7 @@
 		if ('headers' in result) {
 			this.#checkTransit(result.headers, age);
 			this.#recordResponse(result.headers);
+			chooser.recordAcceptance(this.member, readAcceptance(result.headers));
 			const capacity = result.headers[meshHeaders.capacity];
 			if (capacity !== undefined) {
 				chooser.recordCapacity(this.member, String(this.#options.headers[meshHeaders.route]), capacity);
--- a/packages/callers/src/retry-budget.ts
+++ b/packages/callers/src/retry-budget.ts
@@ -11,6 +11,12 @@
 /** Time constant in milliseconds with which tokens that calls added expire: short compared with the window of a limit on retries. */
 const tokenDecayMs = 2000;
 
+/** Share of the tokens of a full account that is kept for the calls that upstreams make. */
+const nestedShare = 0.25;
+
+/** Time in milliseconds after the last such call in which tokens are kept. */
+const nestedMemoryMs = 5000;
+
 /** Tokens of one service on this node. */
 type Account = {
 	/** Tokens for retries; below zero after a retry on a part of a token. */
@@ -25,6 +31,9 @@
 
 	/** Number of tokens, above 0 and at most 1, that admits the next retry. */
 	threshold: number;
+
+	/** Monotonic time in milliseconds of the last nested call. */
+	nestedAt: number;
 };
 
 /**
@@ -53,16 +62,31 @@
 		this.#random = random;
 	}
 
-	/** Records a call, which adds `ratio` tokens to the account of its service. */
-	recordCall(service: string): void {
+	/**
+	 * Records a call, which adds `ratio` tokens to the account of its service.
+	 *
+	 * @param isNested Whether an upstream has probably made the call while it processes another one.
+	 */
+	recordCall(service: string, isNested = false): void {
 		const account = this.#getAccount(service);
+		if (isNested) {
+			account.nestedAt = this.#clock.now();
+		}
+
 		account.added += this.#ratio;
 		account.tokens += this.#ratio;
 	}
 
-	/** Takes a token for a retry, and returns whether there was one. */
-	admitRetry(service: string): boolean {
+	/**
+	 * Takes a token for a retry, and returns whether there was one. While upstreams make calls to the service, a
+	 * part of the tokens is kept for these: a caller can return after a refusal, but the run that needs such a call is lost.
+	 */
+	admitRetry(service: string, isNested = false): boolean {
 		const account = this.#getAccount(service);
+		if (!isNested && account.tokens < this.#computeKept(account)) {
+			return false;
+		}
+
 		if (account.tokens + account.staked < account.threshold) {
 			account.staked += Math.max(0, account.tokens);
 			account.tokens = Math.min(0, account.tokens);
@@ -75,6 +99,11 @@
 		return true;
 	}
 
+	/** Computes the number of tokens that only nested calls may take. */
+	#computeKept({added, nestedAt}: Account): number {
+		return this.#clock.now() - nestedAt < nestedMemoryMs ? (Math.floor(this.#getMaxTokens()) + added) * nestedShare : 0;
+	}
+
 	/** Returns the account of a service without the tokens that have expired. */
 	#getAccount(service: string): Account {
 		const now = this.#clock.now();
@@ -82,7 +111,7 @@
 		let account = this.#accounts.get(service);
 		if (account === undefined) {
 			account = {
-				tokens: reserve, staked: 0, added: 0, addedAt: now, threshold: this.#createThreshold(),
+				tokens: reserve, staked: 0, added: 0, addedAt: now, threshold: this.#createThreshold(), nestedAt: Number.NEGATIVE_INFINITY,
 			};
 			this.#accounts.set(service, account);
 		}
--- a/packages/callers/src/target-chooser.ts
+++ b/packages/callers/src/target-chooser.ts
@@ -4,7 +4,9 @@
 import {type Membership} from '@ebonylead/peers/membership.js';
 import {type Route} from '@ebonylead/rules/route-table.js';
 import {capacityLimits, outcomes, type Refusal} from '@ebonylead/upstreams/upstreams.js';
-import {type CandidateRanking, type ChoiceInputs, type RankingFactory} from './candidate-ranking.js';
+import {
+	type CandidateRanking, type ChoiceInputs, type RankedCall, type RankingFactory,
+} from './candidate-ranking.js';
 import {type EjectionProbe} from './ejection-probe.js';
 import {Ejections} from './ejections.js';
 import {KnownNotices} from './known-notices.js';
@@ -89,12 +91,14 @@
 	 *
 	 * @param attemptedIds Identifiers of the members that the call was sent to already.
 	 * @param elapsed Time in milliseconds since the caller's first attempt at the call.
+	 * @param isNested Whether an upstream has probably made the call while it processes another one.
 	 */
-	choose(service: string, route: Route, attemptedIds: ReadonlySet<string>, elapsed = 0): Member | undefined {
+	choose(service: string, route: Route, attemptedIds: ReadonlySet<string>, elapsed = 0, isNested = false): Member | undefined {
 		this.#states.removeStale();
 		const members = this.#membership.listReady(service);
 		const ready = this.#filter?.filterCandidates(service, members) ?? members;
-		return this.#chooseAmong(ready, route, attemptedIds, elapsed) ?? this.#chooseAmong(this.#filter?.listFallback?.(service, members, ready) ?? [], route, attemptedIds, elapsed);
+		const call = {route, elapsed, isNested};
+		return this.#chooseAmong(ready, call, attemptedIds) ?? this.#chooseAmong(this.#filter?.listFallback?.(service, members, ready) ?? [], call, attemptedIds);
 	}
 
 	/**
@@ -155,6 +159,11 @@
 		}
 	}
 
+	/** Records the share of its requests that an upstream accepts, between 0 and 1. */
+	recordAcceptance(member: Member, share: number): void {
+		this.#states.recordAcceptance(member, share);
+	}
+
 	/** Records what the sidecar reported of the capacity of its upstream on the response to a call of a route. */
 	recordCapacity(member: Member, route: string, header: string | string[] | undefined): void {
 		this.#ranking.recordCapacity?.(member, route, header);
@@ -180,13 +189,14 @@
 		this.#ejections.close();
 	}
 
-	#chooseAmong(ready: readonly Member[], route: Route, attemptedIds: ReadonlySet<string>, elapsed: number): Member | undefined {
+	#chooseAmong(ready: readonly Member[], call: RankedCall, attemptedIds: ReadonlySet<string>): Member | undefined {
+		const {route} = call;
 		const {prefer} = route.rule;
 		const candidates = this.#listCandidates(ready, attemptedIds).filter(member => !this.#isFull(member, route));
 		const preferred = prefer === 'any' ? candidates : candidates.filter(member => member.dataCentre === (prefer === 'local' ? this.#dataCentre : prefer));
-		const best = this.#ranking.choose({all: candidates, preferred}, {route, elapsed});
+		const best = this.#ranking.choose({all: candidates, preferred}, call);
 		const {estimateLoad} = this.#ranking;
-		return best && estimateLoad && this.#localPreference ? this.#localPreference.choose(preferred, best, estimateLoad) : best;
+		return best && estimateLoad && this.#localPreference ? this.#localPreference.choose(preferred, best, member => estimateLoad(member, call)) : best;
 	}
 
 	#isFull(member: Member, route: Route): boolean {
--- a/packages/node/src/test/load-balancing_test.ts
+++ b/packages/node/src/test/load-balancing_test.ts
@@ -70,7 +70,7 @@
 		t.is(runs.length, 800);
 		t.regex(parts.sidecar.formatCapacity!('r')!, /^\d+;\d+\.\d$/v);
 		const ranking = parts.createRanking!({states: new TargetStates(clock), clock, random});
-		ranking.choose({all: [], preferred: []}, {route, elapsed: 0});
+		ranking.choose({all: [], preferred: []}, {route, elapsed: 0, isNested: false});
 		const metrics = await registry.metrics();
 		t.true(metrics.includes(`ebonylead_upstream_learnt_limit ${limit}\n`));
 		t.true(metrics.includes('ebonylead_choices_total{reason="only"} 1\n'));
--- a/packages/stand-ins/src/load-emulator.ts
+++ b/packages/stand-ins/src/load-emulator.ts
@@ -286,15 +286,16 @@
 		const startedAt = this.#clock.now();
 		let retryAfter = 0;
 		let hasReachedUpstream = false;
-		retryBudget.recordCall(callClass.service);
+		const isNested = callClass.rate === 0;
+		retryBudget.recordCall(callClass.service, isNested);
 		while (attemptedIds.size < maxAttempts && this.#clock.now() < deadline) {
-			const member = chooser.choose(callClass.service, route, attemptedIds, this.#clock.now() + callClass.objective - objective);
+			const member = chooser.choose(callClass.service, route, attemptedIds, this.#clock.now() + callClass.objective - objective, isNested);
 			if (member === undefined) {
 				retryAfter = chooser.findCapacityRefusal(callClass.service, route)?.retryAfter ?? retryAfter;
 				break;
 			}
 
-			if (hasReachedUpstream && !retryBudget.admitRetry(callClass.service)) {
+			if (hasReachedUpstream && !retryBudget.admitRetry(callClass.service, isNested)) {
 				break;
 			}
 
@@ -310,6 +311,7 @@
 			const header = vm.node.learner.formatReport(route.key);
 			await this.#clock.sleep(latency);
 			chooser.recordEnd(member, false, vm.node.admission.load);
+			chooser.recordAcceptance(member, vm.node.admission.acceptance);
 			chooser.recordCapacity(member, route.key, header);
 			if (outcome !== undefined) {
 				return outcome;
@@ -333,7 +335,7 @@
 	async #runAdmitted(vm: EmulatedVm, callClass: CallClass, deadline: number, {release}: Extract<Admission, {kind: 'admitted'}>): Promise<Outcome | undefined> {
 		if (vm.isRefusing(this.#clock.now())) {
 			await this.#clock.sleep(upstreamRefusalMs);
-			release();
+			release(false);
 			return undefined;
 		}
 
--- a/packages/upstreams/src/admission-request.ts
+++ b/packages/upstreams/src/admission-request.ts
@@ -34,5 +34,10 @@
 
 /** The decision on a call: a slot to be released when the call ends, or a refusal. */
 export type Admission
-	= | {readonly kind: 'admitted'; readonly release: () => void}
-		| {readonly kind: 'refused'; readonly refusal: SidecarRefusal};
+	= | {
+		readonly kind: 'admitted';
+
+		/** Releases the slot. `isAccepted` is false if the upstream refused the call without running it; true if not given. */
+		readonly release: (isAccepted?: boolean) => void;
+	}
+	| {readonly kind: 'refused'; readonly refusal: SidecarRefusal};
--- a/packages/upstreams/src/admission.ts
+++ b/packages/upstreams/src/admission.ts
@@ -1,5 +1,6 @@
 /** Admission control of the sidecar: decides which calls run now, which wait in the queue, and which are refused. */
 import {type Clock} from '@ebonylead/base/base.js';
+import {Acceptance} from './acceptance.js';
 import {buildAdmissionRefusal, type AdmissionRefusalCause} from './admission-refusals.js';
 import {AdmissionQueue, type QueuedCall} from './admission-queue.js';
 import {type Admission, type AdmissionRequest} from './admission-request.js';
@@ -7,6 +8,7 @@
 import {RateLimit} from './rate-limit.js';
 import {RunningCalls} from './running-calls.js';
 import {PriorityUsage, ServiceTimes} from './service-times.js';
+import {isShortCall} from './short-calls.js';
 import {refusalCauses} from './upstreams.js';
 import {WaitEstimator} from './wait-estimator.js';
 
@@ -19,9 +21,6 @@
 /** Maximum number of queued calls per slot that are expected to miss their objective; they fill slots that would be idle. */
 const maxBestEffortPerSlot = 0.25;
 
-/** A call counts as short if at most this time is left until its deadline: calls between services have 400 to 650 ms, calls from outside 800 ms and more. */
-const maxShortCallMs = 700;
-
 /** Priority of short calls: above all others, as each holds a slot only briefly while the call that it was made for waits. */
 const shortCallPriority = -1;
 
@@ -67,6 +66,7 @@
 	readonly #queue = new AdmissionQueue();
 	readonly #rateLimit: RateLimit;
 	readonly #estimator: WaitEstimator;
+	readonly #acceptance: Acceptance;
 	#slots: number;
 	#isClosed = false;
 	#isSweeping = false;
@@ -76,6 +76,7 @@
 		this.#clock = clock;
 		this.#slots = slots;
 		this.#rateLimit = new RateLimit(clock);
+		this.#acceptance = new Acceptance(clock);
 		this.#estimator = new WaitEstimator({
 			clock, queue: this.#queue, running: this.#running, serviceTimes: this.#serviceTimes, priorityUsage: this.#priorityUsage, rateLimit: this.#rateLimit,
 		});
@@ -104,6 +105,11 @@
 		return (count + missingTokens) / this.#computeEffectiveSlots(rate);
 	}
 
+	/** Share of the admitted calls that the upstream accepts, between 0 and 1. */
+	get acceptance(): number {
+		return this.#acceptance.share;
+	}
+
 	/** Requests per second that the upstream takes; undefined if it names no limit. */
 	get rateLimit(): number | undefined {
 		return this.#rateLimit.rate;
@@ -204,7 +210,7 @@
 		this.#running.add(call);
 		this.#rateLimit.recordStart();
 		this.#queue.recordStart(request, this.#serviceTimes.estimate(request.route));
-		const release = () => {
+		const release = (isAccepted = true) => {
 			if (isReleased) {
 				return;
 			}
@@ -212,8 +218,12 @@
 			isReleased = true;
 			const now = this.#clock.now();
 			this.#running.remove(call);
-			this.#serviceTimes.record(call.route, now - call.startedAt);
-			this.#priorityUsage.record(priority, now - call.startedAt, now);
+			this.#acceptance.record(isAccepted);
+			if (isAccepted) {
+				this.#serviceTimes.record(call.route, now - call.startedAt);
+				this.#priorityUsage.record(priority, now - call.startedAt, now);
+			}
+
 			this.#startQueued();
 		};
 
@@ -339,14 +349,10 @@
 		return isBestEffort || this.#clock.now() + this.#serviceTimes.estimate(request.route) > request.objective;
 	}
 
-	/**
-	 * Whether the call has so little time left that it can't occupy a slot for long.
-	 * Such calls are mostly made by upstreams while they process another call,
-	 * whose work would be wasted by a refusal, so only their deadline is considered.
-	 */
+	/** Whether only the deadline of the call is considered. */
 	#isShort({deadline, objective}: AdmissionRequest): boolean {
 		const now = this.#clock.now();
-		return deadline - now <= maxShortCallMs && objective > now + 1;
+		return isShortCall(deadline - now, objective - now);
 	}
 
 	/** Computes the number of slots that an upstream with a limit keeps busy. */
--- a/packages/upstreams/src/mesh-call.ts
+++ b/packages/upstreams/src/mesh-call.ts
@@ -19,6 +19,9 @@
 /** Interval of the interim responses while a call is pending. Only entry nodes of an earlier version, which send no attempt id, need them. */
 const interimResponseIntervalMs = 100;
 const firstAttempt = '1';
+
+/** Share of accepted requests from which on the upstream counts as refusing none. */
+const maxReportedAcceptance = 0.95;
 const statusUnavailable = 503;
 
 /** Receives one call of an entry node, and sends the outcome to it. */
@@ -165,6 +168,10 @@
 			headers[meshHeaders.notice] = encodeNotice(notice);
 		}
 
+		if (admission.acceptance < maxReportedAcceptance) {
+			headers[meshHeaders.acceptance] = admission.acceptance.toFixed(2);
+		}
+
 		const capacity = this.#dependencies.formatCapacity?.(readHeader(this.#request, meshHeaders.route) ?? '');
 		if (capacity !== undefined) {
 			headers[meshHeaders.capacity] = capacity;
--- a/packages/upstreams/src/sidecar-call.ts
+++ b/packages/upstreams/src/sidecar-call.ts
@@ -178,17 +178,19 @@
 		}
 
 		this.#request.onAdmitted();
+		let isAccepted = true;
 		try {
 			await this.#checkAfterWait(admittedFrom);
 			const admittedAt = clock.now();
 			const result = await this.#runAdmitted();
+			isAccepted = result.kind !== 'refused' || result.refusal.cause !== refusalCauses.upstream;
 			if (result.kind !== 'refused') {
 				this.#recordSummary('run', {transit: times.transit, wait: admittedAt - admittedFrom, slot: clock.now() - admittedAt});
 			}
 
 			return result;
 		} finally {
-			admission.release();
+			admission.release(isAccepted);
 		}
 	}
 
--- a/packages/upstreams/src/upstreams.ts
+++ b/packages/upstreams/src/upstreams.ts
@@ -62,6 +62,9 @@
 	/** Running and queued calls per slot of the upstream. */
 	load: 'x-ebonylead-load',
 
+	/** Share of the requests that the upstream accepts, between 0 and 1; absent if it refuses hardly any. */
+	acceptance: 'x-ebonylead-acceptance',
+
 	/** Learnt capacity of the upstream: its limit of calls at the same time, and the mean service time of the call's route in milliseconds. */
 	capacity: 'x-ebonylead-capacity',
 
