Give late calls no slots that calls in time lack

Cause: a slot that became free went to a call that could only be late, if none in time was queued at that moment. The calls in time that came next found no slot, were refused, and returned late themselves: the state keeps itself up. Slots are held for 245 ms for 132 ms of work, as runs wait 1.4 times 91 ms for calls of their own, so that little time is left to wait. Class of fault: work that comes too late crowds out work that could be in time. Fix: for half a second after a call that was late only because of the wait, calls that can only be late are refused at once. Without such contention they use idle slots as before.

--- a/packages/stand-ins/src/emulated-load.ts
+++ b/packages/stand-ins/src/emulated-load.ts
@@ -142,6 +142,9 @@
 	/** Variation of the calls that callers start; none if not given. */
 	readonly wave?: DemandWave;
 
+	/** Time in milliseconds from one node to another, with the processing at both, within a data centre; 1 if not given. */
+	readonly hopLatency?: number;
+
 	/** One-way latency in milliseconds between data centres; that of one data centre if not given. */
 	readonly dataCentreLatency?: number;
 
--- a/packages/stand-ins/src/load-emulator.ts
+++ b/packages/stand-ins/src/load-emulator.ts
@@ -44,8 +44,8 @@
 /** The part of a node that calls of callers pass. */
 type EntryNode = Pick<EmulatedNode, 'chooser' | 'retryBudget'>;
 
-/** One-way latency between two nodes unless the load sets that between data centres. */
-const hopLatencyMs = 1;
+/** One-way latency between two nodes unless the load sets another one. */
+const defaultHopLatencyMs = 1;
 
 /** Maximum number of attempts of one sending of a call, each at another node. */
 const maxAttempts = 3;
@@ -304,7 +304,8 @@
 			const vm = this.#vmsById.get(member.id)!;
 			this.#localAttempts += vm.node.chooser === chooser ? 1 : 0;
 			chooser.recordStart(member);
-			const latency = dataCentre === member.dataCentre ? hopLatencyMs : this.#load.dataCentreLatency ?? hopLatencyMs;
+			const {hopLatency = defaultHopLatencyMs, dataCentreLatency = hopLatency} = this.#load;
+			const latency = dataCentre === member.dataCentre ? hopLatency : dataCentreLatency;
 			await this.#clock.sleep(latency);
 			const admission = await this.#admit(vm, callClass, objective, deadline, organisation);
 			const outcome = admission.kind === 'admitted' ? await this.#runAdmitted(vm, callClass, deadline, admission) : undefined;
--- a/packages/upstreams/src/admission.ts
+++ b/packages/upstreams/src/admission.ts
@@ -21,6 +21,12 @@
 /** Maximum number of queued calls per slot that are expected to miss their objective; they fill slots that would be idle. */
 const maxBestEffortPerSlot = 0.25;
 
+/**
+ * Time in milliseconds for which calls that are expected to miss their objective get no slot after one was late only
+ * because it had to wait. With such calls in the slots, those in time would be refused, and return late themselves.
+ */
+const contentionMs = 500;
+
 /** Priority of short calls: above all others, as each holds a slot only briefly while the call that it was made for waits. */
 const shortCallPriority = -1;
 
@@ -49,8 +55,8 @@
  * Calls that find no free slot wait in a short queue. Slots go to the highest
  * priority first, then to calls that can still meet their objective, then to
  * the callers in round robin, then to the earliest objective. Under overload a
- * call that would miss its objective is refused at once while others can meet
- * theirs, so that the calls that are served are served in time. When the queue
+ * call that would miss its objective is refused at once, even if a slot is free,
+ * while others can meet theirs, so that the calls that are served are served in time. When the queue
  * is full, the oldest call of the caller with the most queued calls of the
  * lowest priority is refused. Where there are organisations, their shares come
  * before the priorities, and take the place of the callers' turns.
@@ -71,6 +77,7 @@
 	#isClosed = false;
 	#isSweeping = false;
 	#forecastAt = 0;
+	#contendedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(clock: Clock, slots: number) {
 		this.#clock = clock;
@@ -179,11 +186,15 @@
 			return this.#buildRefusal(request, isLimited ? refusalCauses.rateLimit : refusalCauses.deadline);
 		}
 
+		const isBestEffort = expectedEnd > request.objective && !isShort;
+		if (isBestEffort && this.#isContended(request)) {
+			return this.#buildRefusal(request, isLimited ? refusalCauses.rateLimit : refusalCauses.objective);
+		}
+
 		if (isImmediate) {
 			return this.#startCall(request, priority);
 		}
 
-		const isBestEffort = expectedEnd > request.objective && !isShort;
 		if (isBestEffort && this.#queue.bestEffortCount >= this.#maxBestEffort) {
 			return this.#buildRefusal(request, isLimited ? refusalCauses.rateLimit : refusalCauses.objective);
 		}
@@ -196,6 +207,16 @@
 		return this.#rateLimit.rate === undefined ? this.#slots * maxBestEffortPerSlot : 0;
 	}
 
+	/** Returns whether calls that could be in time lack slots, as this late call shows or others have shown lately. */
+	#isContended({route, objective}: AdmissionRequest): boolean {
+		const now = this.#clock.now();
+		if (now + this.#serviceTimes.estimate(route) <= objective) {
+			this.#contendedAt = now;
+		}
+
+		return now - this.#contendedAt < contentionMs;
+	}
+
 	#canStart(request: AdmissionRequest): boolean {
 		if (this.#running.hasExclusive || (request.isExclusive && this.#running.count > 0)) {
 			return false;
