--- a/packages/store/src/table-follower.ts
+++ b/packages/store/src/table-follower.ts
@@ -33,9 +33,15 @@
 /** Part of a pause that may count as heard while the store has later writes, from the start of the last read: they may be of this table, and another node must have time to read them if this one loses the store. */
 const maxUnreadMs = 300;
 
+/** Time in milliseconds after the longest wait for changes from which on the response is overdue. */
+const overdueMs = 300;
+
 /** Table without rows, whose reading shows at the least cost that the store answers. */
 const emptyTable = 'empty';
 
+/** Rows from the store, all of the table if `isComplete`. */
+type FetchedChanges = {readonly page: RowPage; readonly isComplete: boolean};
+
 /** Reads a table, then follows its change feed; reads the whole table again when the store no longer keeps the changes since the last read, or was restored from a copy. */
 export class TableFollower {
 	readonly #dependencies: TableFollowerDependencies;
@@ -80,7 +86,7 @@
 
 	async #readOnce(signal: AbortSignal): Promise<void> {
 		const {
-			store, table, clock, onRows, getMinInterval, maxWait,
+			store, table, clock, onRows, getMinInterval,
 		} = this.#dependencies;
 		const startedAt = clock.now();
 		if (this.#cursor === undefined) {
@@ -92,7 +98,7 @@
 		}
 
 		const knownEra = this.#era;
-		const page = await store.waitForChanges(table, this.#cursor, signal, maxWait && this.#isFirstWait ? firstWaitMs : maxWait);
+		const {page, isComplete} = await this.#fetchChanges(this.#cursor, signal);
 		const duration = clock.now() - startedAt;
 		const readDuration = this.#isFirstWait ? duration : Math.min(duration, this.#readDuration);
 		this.#isFirstWait = false;
@@ -104,7 +110,7 @@
 		}
 
 		if (page.rows.length > 0) {
-			onRows(page.rows, false, page.era);
+			onRows(page.rows, isComplete, page.era);
 			this.#readDuration = readDuration;
 			// Each change completes the pending feed requests of all nodes. Waiting here bounds their rate; the changes made meanwhile arrive together in the next response.
 			await this.#pause(getMinInterval?.() ?? 0, signal);
@@ -112,6 +118,44 @@
 		}
 	}
 
+	/**
+	 * Waits for changes. If the response is overdue, reads the table as well, and takes what
+	 * comes first: a store that reorganises its history may hold back only the responses to waiting requests.
+	 */
+	async #fetchChanges(cursor: number, signal: AbortSignal): Promise<FetchedChanges> {
+		const {store, table, maxWait} = this.#dependencies;
+		const wait = maxWait && this.#isFirstWait ? firstWaitMs : maxWait;
+		// Rows that have changed during a pause take their time on the way.
+		const transfer = this.#isFirstWait ? this.#readDuration : 0;
+		const controller = new AbortController();
+		const waiting = store.waitForChanges(table, cursor, AbortSignal.any([signal, controller.signal]), wait).then(page => ({page, isComplete: false}));
+		if (wait === undefined || this.#failures > 0) {
+			return waiting;
+		}
+
+		try {
+			return await Promise.any([waiting, this.#readWhenOverdue(wait + transfer + overdueMs, cursor, controller.signal)]);
+		} catch {
+			return await waiting;
+		} finally {
+			controller.abort();
+		}
+	}
+
+	/** @throws StepError if the rows are of an earlier time than those that are known. */
+	async #readWhenOverdue(delay: number, cursor: number, signal: AbortSignal): Promise<FetchedChanges> {
+		const {store, table, clock, log} = this.#dependencies;
+		await clock.sleep(delay, signal);
+		signal.throwIfAborted();
+		log.info({table, revision: cursor, delay}, 'Reading the table, as the response to a waiting request is overdue');
+		const page = await store.readTable(table);
+		if (page.era === this.#era && page.revision < cursor) {
+			throw new StepError('read table', table, `the rows are of revision ${page.revision}, before ${cursor}`);
+		}
+
+		return {page, isComplete: true};
+	}
+
 	/** Waits until an interval has passed since the start of the last read, but at least half of it. */
 	async #pause(interval: number, signal: AbortSignal): Promise<void> {
 		const {store, clock, maxWait} = this.#dependencies;
--- a/packages/store/src/test/table-follower_test.ts
+++ b/packages/store/src/test/table-follower_test.ts
@@ -142,3 +142,56 @@
 		await running;
 	});
 });
+
+describe('table follower of a table that must be heard regularly', () => {
+	const maxWait = 500;
+
+	/** Store whose responses to waiting requests never come while its feeds are silent. */
+	class SilentFeedStore extends FakeRowStore {
+		readCount = 0;
+
+		override async readTable(table: string): Promise<RowPage> {
+			this.readCount++;
+			return super.readTable(table);
+		}
+
+		override async waitForChanges(table: string, after: number, signal: AbortSignal): Promise<RowPage> {
+			if (!this.areFeedsSilent) {
+				return super.waitForChanges(table, after, signal);
+			}
+
+			return new Promise((_resolve, reject) => {
+				signal.addEventListener('abort', () => {
+					reject(new Error('aborted'));
+				});
+			});
+		}
+	}
+
+	it('reads the table while the responses to waiting requests do not come', async t => {
+		const store = new SilentFeedStore();
+		store.setValue('t', 'a', '1');
+		const clock = new FakeClock();
+		const keys: string[][] = [];
+		const controller = new AbortController();
+		const follower = new TableFollower({
+			store, table: 't', clock, log: createLogger('silent'), maxWait, onRows(rows) {
+				keys.push(rows.map(row => row.key));
+			},
+		});
+		const running = follower.run(controller.signal);
+		await clock.advance(1);
+		store.areFeedsSilent = true;
+		store.setValue('t', 'b', '1');
+		for (let elapsed = 0; elapsed < 1000; elapsed += 100) {
+			await clock.advance(100);
+		}
+
+		t.deepEqual(keys.at(-1), ['a', 'b']);
+		t.true(clock.now() - follower.lastResponseAt < maxWait + 400);
+		t.true(store.readCount <= 4, String(store.readCount));
+		controller.abort();
+		await clock.advance(10_000);
+		await running;
+	});
+});
