Refuse calls that are late anyway at the entry node while new ones lack slots

Cause: the entry node knew that new calls of the route had just found no slot, and asked for a late one all the same. Evidence: the summaries of both hops: 8,574 refusals by sidecars in 4 s for 2,462 calls that ended with 503. Fix: for half a second after a new call was refused for lack of slots, calls of its route whose objective has passed are refused at once, with the delay that the sidecar advised.

--- a/packages/callers/src/call.ts
+++ b/packages/callers/src/call.ts
@@ -139,7 +139,11 @@
 			clearTimeout(timer);
 			discardBody(this.#request, this.#body);
 			this.#dependencies.metrics.recordCall(this.#service, this.#record.result, this.#dependencies.clock.now() - this.#startedAt);
-			this.#recordBurn(route);
+			// A caller that left shows nothing about the service.
+			if (this.#record.result !== callResults.callerLeft) {
+				this.#dependencies.burnCounters.record(route.key, this.#record.isSuccess(this.#response.statusCode));
+			}
+
 			this.#dependencies.organisationCheck.recordResult(this.#access, this.#record.result);
 			this.#recordUnsuccessfulCall(route);
 		}
@@ -163,9 +167,10 @@
 	}
 
 	async #runAttempts(route: Route): Promise<void> {
-		const overQuota = this.#dependencies.quotas && await this.#quota.admit(this.#access.organisation?.name);
-		if (overQuota) {
-			this.#refuse(overQuota);
+		const {chooser, quotas} = this.#dependencies;
+		const refusal = chooser.contention.findRefusal(route, this.#age) ?? (quotas && await this.#quota.admit(this.#access.organisation?.name));
+		if (refusal) {
+			this.#refuse(refusal);
 			return;
 		}
 
@@ -200,6 +205,7 @@
 
 				step = this.#startAttempt(route, retries.addAttempt(), () => retries.admit()) ?? await this.#waitForStep(route);
 			} else if (this.#inFlight.isEmpty) {
+				chooser.contention.record(route, this.#age, this.#lastRefusal);
 				this.#refuse(step === 'retry' ? this.#lastRefusal : step);
 				return;
 			} else {
@@ -370,13 +376,6 @@
 		return !mayHaveRun || route.rule.idempotent ? 'retry' : this.#lastRefusal;
 	}
 
-	/** Counts the call for the error budget of its route, unless the caller left: that shows nothing about the service. */
-	#recordBurn(route: Route): void {
-		if (this.#record.result !== callResults.callerLeft) {
-			this.#dependencies.burnCounters.record(route.key, this.#record.isSuccess(this.#response.statusCode));
-		}
-	}
-
 	get #version(): number {
 		return this.#activeSnapshot.encoded.snapshot.version;
 	}
--- a/packages/callers/src/target-chooser.ts
+++ b/packages/callers/src/target-chooser.ts
@@ -12,6 +12,7 @@
 import {KnownNotices} from './known-notices.js';
 import {LoadRanking} from './load-ranking.js';
 import {LocalPreference, type LocalTarget} from './local-preference.js';
+import {RouteContention} from './route-contention.js';
 import {TargetStates} from './target-states.js';
 
 /** Restricts the upstreams of a service that a call may be sent to, such as those of one version. */
@@ -59,6 +60,9 @@
 export class TargetChooser {
 	/** What upstreams said of themselves in their responses. */
 	readonly notices: KnownNotices;
+
+	/** Which routes lack slots. */
+	readonly contention: RouteContention;
 	readonly #membership: Membership;
 	readonly #dataCentre: string;
 	readonly #clock: Clock;
@@ -84,6 +88,7 @@
 			states: this.#states, clock, random,
 		});
 		this.notices = new KnownNotices(clock);
+		this.contention = new RouteContention(clock);
 	}
 
 	/**
--- a/packages/stand-ins/src/emulated-vm.ts
+++ b/packages/stand-ins/src/emulated-vm.ts
@@ -5,7 +5,7 @@
 import {type TargetChooser} from '@ebonylead/callers/target-chooser.js';
 import {type CapacityLearner} from '@ebonylead/capacity/capacity-learner.js';
 import {type AdmissionControl} from '@ebonylead/upstreams/admission.js';
-import {type EmulatedService, type LimitUsage} from './emulated-load.js';
+import {type EmulatedLoad, type EmulatedService, type LimitUsage} from './emulated-load.js';
 import {EmulatedSpeed} from './emulated-speed.js';
 
 /** What the node on a VM consists of. */
@@ -34,10 +34,10 @@
 
 	/** Times at which runs started. */
 	readonly arrivals: number[] = [];
-	limitNamedAt = Number.POSITIVE_INFINITY;
 
 	/** Number of requests that the upstream has refused. */
 	refusalCount = 0;
+	#limitNamedAt = Number.POSITIVE_INFINITY;
 	readonly #service: EmulatedService;
 	readonly #index: number;
 	readonly #random: Random;
@@ -59,13 +59,26 @@
 		return isRefused;
 	}
 
+	/** Tells the node the limit of its upstream, as the response to a call does. */
+	nameLimit(now: number, {limitsFrom = 0, areLimitsIgnored = false}: EmulatedLoad): void {
+		if (this.limit === undefined || now < limitsFrom) {
+			return;
+		}
+
+		const {admission} = this.node;
+		this.#limitNamedAt = Math.min(this.#limitNamedAt, now);
+		if (!areLimitsIgnored && admission.rateLimit === undefined) {
+			admission.setRateLimit(this.limit);
+		}
+	}
+
 	/** Computes what the upstream got of the requests that its limit allows; undefined if it has none. */
 	computeLimitUsage(upstream: string): LimitUsage | undefined {
 		if (this.limit === undefined) {
 			return undefined;
 		}
 
-		const counted = this.arrivals.filter(arrival => arrival >= this.limitNamedAt);
+		const counted = this.arrivals.filter(arrival => arrival >= this.#limitNamedAt);
 		const worst = Math.max(0, ...counted.map(start => counted.filter(arrival => arrival >= start && arrival < start + limitWindowMs).length));
 		return {
 			upstream, allowed: this.limit * limitWindowMs / millisecondsPerSecond, worst, runs: this.arrivals.length,
--- a/packages/stand-ins/src/load-emulator.ts
+++ b/packages/stand-ins/src/load-emulator.ts
@@ -284,9 +284,15 @@
 		const route = this.#routes.get(callClass.name)!;
 		const attemptedIds = new Set<string>();
 		const startedAt = this.#clock.now();
+		const age = startedAt + callClass.objective - objective;
 		let retryAfter = 0;
 		let hasReachedUpstream = false;
 		const isNested = callClass.rate === 0;
+		const late = chooser.contention.findRefusal(route, age);
+		if (late) {
+			return {kind: 'refused', waited: 0, retryAfter: late.retryAfter};
+		}
+
 		retryBudget.recordCall(callClass.service, isNested);
 		while (attemptedIds.size < maxAttempts && this.#clock.now() < deadline) {
 			const member = chooser.choose(callClass.service, route, attemptedIds, this.#clock.now() + callClass.objective - objective, isNested);
@@ -320,6 +326,7 @@
 
 			if (admission.kind === 'refused') {
 				retryAfter = admission.refusal.retryAfter ?? 0;
+				chooser.contention.record(route, age, admission.refusal);
 				if (admission.refusal.lacking !== undefined) {
 					chooser.recordCapacityRefusal(member, route, admission.refusal);
 				}
@@ -351,19 +358,6 @@
 		});
 	}
 
-	/** Sends the node of a VM the limit of its upstream, as the response to a call does. */
-	#sendLimit(vm: EmulatedVm): void {
-		const now = this.#clock.now();
-		if (vm.limit === undefined || now < (this.#load.limitsFrom ?? 0)) {
-			return;
-		}
-
-		vm.limitNamedAt = Math.min(vm.limitNamedAt, now);
-		if (!this.#load.areLimitsIgnored && vm.node.admission.rateLimit === undefined) {
-			vm.node.admission.setRateLimit(vm.limit);
-		}
-	}
-
 	/** Runs an admitted call: half of its work, its calls to other services, and the other half. */
 	async #runCall(vm: EmulatedVm, callClass: CallClass, deadline: number): Promise<Outcome> {
 		const result = this.#results.get(callClass.name)!;
@@ -387,7 +381,7 @@
 		vm.node.learner.recordRun({
 			route: this.#routes.get(callClass.name)!.key, outcome: runOutcomes.success, duration: this.#clock.now() - startedAt, concurrency,
 		});
-		this.#sendLimit(vm);
+		vm.nameLimit(this.#clock.now(), this.#load);
 		return {kind: this.#clock.now() <= deadline ? 'served' : 'failed', waited: 0};
 	}
 }
