Keep calls on their VM only where the settings ask for it

Callers saw: 502 in place of 503 for a request that had crashed three upstreams, which may crash a fourth one.

--- a/packages/node/src/mesh-node-settings.ts
+++ b/packages/node/src/mesh-node-settings.ts
@@ -31,6 +31,9 @@
 	/** How calls are distributed among upstreams; by load if undefined. */
 	readonly loadBalancing?: LoadBalancing;
 
+	/** Whether calls to the upstream of the node's own VM stay in the process, and are preferred; not if undefined. */
+	readonly localAttempts?: boolean;
+
 	/** Number of retries that all nodes together may make in addition to the ratio; divided evenly among the nodes. */
 	readonly retrySlack: number;
 
--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -214,7 +214,7 @@
 			activeVersion: this.#activeVersion,
 			chooser: new TargetChooser(this.#membership, settings.dataCentre, clock, random, ejectionProbe, {
 				filter: this.#rollouts?.filter,
-				local: {id: settings.id, getLoad: () => this.#localUpstream.admission.load}, createRanking: balancing.createRanking,
+				local: settings.localAttempts ? {id: settings.id, getLoad: () => this.#localUpstream.admission.load} : undefined, createRanking: balancing.createRanking,
 			}),
 			pools: this.#pools,
 			attemptProber: new AttemptProber(attemptProbe, clock),
@@ -225,7 +225,7 @@
 			organisationCheck: createOrganisationCheck(dependencies, clock, this.#rulesSync),
 			requestIds: new RequestIds(random),
 			sendClock: new SendClock(clock, random),
-			localSidecar: {id: settings.id, sidecar},
+			localSidecar: settings.localAttempts ? {id: settings.id, sidecar} : undefined,
 			quotas: this.#quotas,
 			quarantine: this.quarantine,
 			onCrashDigest: this.#handleCrashDigest,
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -165,7 +165,7 @@
 		const callDecisionLog = new DecisionLog(this.#createLog('callers'), clock);
 		const callerProtocol = new DefaultCallerProtocol();
 		const chooser = new TargetChooser(this.#peers.membership, node.dataCentre, clock, random, new SidecarEjectionProbe(attemptProbe, callDecisionLog), {
-			local: {id: node.id, getLoad: () => this.#localUpstream.admission.load},
+			local: settings.localAttempts ? {id: node.id, getLoad: () => this.#localUpstream.admission.load} : undefined,
 		});
 		this.#callerListener = new CallerListener({
 			activeVersion,
@@ -179,7 +179,7 @@
 			organisationCheck: new OrganisationCheck({headers: callerProtocol.organisationHeaders, metrics: new OrganisationMetrics(this.#registry, clock)}),
 			requestIds: new RequestIds(random),
 			sendClock: new SendClock(clock, random),
-			localSidecar: {id: node.id, sidecar},
+			localSidecar: settings.localAttempts ? {id: node.id, sidecar} : undefined,
 			quarantine: this.#quarantine,
 			burnCounters: this.#burn,
 			clock,
--- a/packages/operators/src/settings.ts
+++ b/packages/operators/src/settings.ts
@@ -36,6 +36,9 @@
 	/** What the distribution of versions is tuned for: fast convergence or few bytes. */
 	readonly spreading: 'convergence' | 'bytes';
 
+	/** Whether calls to the upstream of the node's own VM stay in the process, and are preferred. */
+	readonly localAttempts: boolean;
+
 	/** Required share of good calls per service. */
 	readonly objectives: Readonly<Record<string, number>>;
 
