Give a slot to no queued call that has become late while calls in time lack slots

Callers saw: as before, most of what was served late had been queued in time. Cause: a call that became late while it waited still got a slot, with calls in time refused meanwhile. Contention is kept by priority now.

--- a/packages/upstreams/src/admission.ts
+++ b/packages/upstreams/src/admission.ts
@@ -4,6 +4,7 @@
 import {buildAdmissionRefusal, type AdmissionRefusalCause} from './admission-refusals.js';
 import {AdmissionQueue, type QueuedCall} from './admission-queue.js';
 import {type Admission, type AdmissionRequest} from './admission-request.js';
+import {Contention} from './contention.js';
 import {type QueueShares} from './queue-shares.js';
 import {RateLimit} from './rate-limit.js';
 import {RunningCalls} from './running-calls.js';
@@ -21,12 +22,6 @@
 /** Maximum number of queued calls per slot that are expected to miss their objective; they fill slots that would be idle. */
 const maxBestEffortPerSlot = 0.25;
 
-/**
- * Time in milliseconds for which calls that are expected to miss their objective get no slot after one was late only
- * because it had to wait. With such calls in the slots, those in time would be refused, and return late themselves.
- */
-const contentionMs = 500;
-
 /** Priority of short calls: above all others, as each holds a slot only briefly while the call that it was made for waits. */
 const shortCallPriority = -1;
 
@@ -73,17 +68,18 @@
 	readonly #rateLimit: RateLimit;
 	readonly #estimator: WaitEstimator;
 	readonly #acceptance: Acceptance;
+	readonly #contention: Contention;
 	#slots: number;
 	#isClosed = false;
 	#isSweeping = false;
 	#forecastAt = 0;
-	#contendedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(clock: Clock, slots: number) {
 		this.#clock = clock;
 		this.#slots = slots;
 		this.#rateLimit = new RateLimit(clock);
 		this.#acceptance = new Acceptance(clock);
+		this.#contention = new Contention(clock);
 		this.#estimator = new WaitEstimator({
 			clock, queue: this.#queue, running: this.#running, serviceTimes: this.#serviceTimes, priorityUsage: this.#priorityUsage, rateLimit: this.#rateLimit,
 		});
@@ -208,13 +204,12 @@
 	}
 
 	/** Returns whether calls that could be in time lack slots, as this late call shows or others have shown lately. */
-	#isContended({route, objective}: AdmissionRequest): boolean {
-		const now = this.#clock.now();
-		if (now + this.#serviceTimes.estimate(route) <= objective) {
-			this.#contendedAt = now;
+	#isContended({route, objective, priority}: AdmissionRequest): boolean {
+		if (this.#clock.now() + this.#serviceTimes.estimate(route) <= objective) {
+			this.#contention.record(priority);
 		}
 
-		return now - this.#contendedAt < contentionMs;
+		return this.#contention.isPresent(priority);
 	}
 
 	#canStart(request: AdmissionRequest): boolean {
@@ -352,6 +347,8 @@
 			this.#queue.remove(next);
 			if (this.#clock.now() + this.#serviceTimes.estimate(request.route) > request.deadline) {
 				next.resolve(this.#buildRefusal(request, refusalCauses.deadlineNear));
+			} else if (next.priority !== shortCallPriority && this.#isExpectedLate(next) && this.#contention.isPresent(request.priority)) {
+				next.resolve(this.#buildRefusal(request, refusalCauses.objective));
 			} else {
 				next.resolve(this.#startCall(request, usagePriority));
 			}
--- a/packages/upstreams/src/test/admission-overload_test.ts
+++ b/packages/upstreams/src/test/admission-overload_test.ts
@@ -143,4 +143,60 @@
 		t.is(lowPriorityCalls[0]!.result?.kind, 'refused');
 		t.is(highPriority.result, undefined);
 	});
+
+	describe('with calls that can only be late', () => {
+		it('gives them a free slot while no other call lacks one', async t => {
+			const clock = new FakeClock();
+			const {control, running} = await createSaturated(clock, 1, 100);
+			release(running[0]!);
+			const late = submit(control, buildRequest({objective: clock.now()}));
+			await waitForImmediate();
+			t.is(late.result?.kind, 'admitted');
+		});
+
+		it('refuses them, even if a slot is free, for half a second after a call was late only by its wait', async t => {
+			const clock = new FakeClock();
+			const {control, running} = await createSaturated(clock, 1, 100);
+			const lacking = submit(control, buildRequest({objective: clock.now() + 120}));
+			await waitForImmediate();
+			t.is(lacking.result?.kind, 'refused');
+			release(running[0]!);
+			const late = submit(control, buildRequest({objective: clock.now()}));
+			const inTime = submit(control, buildRequest({objective: clock.now() + 120}));
+			await waitForImmediate();
+			t.is(late.result?.kind, 'refused');
+			t.is(inTime.result?.kind, 'admitted');
+			release(inTime.result!);
+			await clock.advance(500);
+			const laterLate = submit(control, buildRequest({objective: clock.now()}));
+			await waitForImmediate();
+			t.is(laterLate.result?.kind, 'admitted');
+		});
+
+		it('gives them a free slot while only calls of a lower priority lack one', async t => {
+			const clock = new FakeClock();
+			const {control, running} = await createSaturated(clock, 1, 100);
+			const lacking = submit(control, buildRequest({priority: 2, objective: clock.now() + 120}));
+			await waitForImmediate();
+			t.is(lacking.result?.kind, 'refused');
+			release(running[0]!);
+			const late = submit(control, buildRequest({priority: 1, objective: clock.now()}));
+			await waitForImmediate();
+			t.is(late.result?.kind, 'admitted');
+		});
+
+		it('refuses those that have become late in the queue, when a slot is free and calls in time lack slots', async t => {
+			const clock = new FakeClock();
+			const {control, running} = await createSaturated(clock, 1, 100);
+			const queued = submit(control, buildRequest({objective: clock.now() + 310}));
+			await clock.advance(220);
+			const lacking = submit(control, buildRequest({objective: clock.now() + 120}));
+			await waitForImmediate();
+			t.is(lacking.result?.kind, 'refused');
+			t.is(queued.result, undefined);
+			release(running[0]!);
+			await waitForImmediate();
+			t.is(queued.result?.kind, 'refused');
+		});
+	});
 });
