Don't let calls above the share of their organisation take slots from late calls of others

Found by reading: an organisation that sends far more than its share has calls that are late only because they wait behind all others, and these would have had late calls of the others refused for half a second. The new test in organisation-shares_test.ts plays both cases.

--- a/packages/upstreams/src/admission.ts
+++ b/packages/upstreams/src/admission.ts
@@ -204,8 +204,10 @@
 	}
 
 	/** Returns whether calls that could be in time lack slots, as this late call shows or others have shown lately. */
-	#isContended({route, objective, priority}: AdmissionRequest): boolean {
-		if (this.#clock.now() + this.#serviceTimes.estimate(route) <= objective) {
+	#isContended(request: AdmissionRequest): boolean {
+		const {route, objective, priority} = request;
+		// One above its share waits for the calls within theirs, and these give way to none.
+		if (this.#clock.now() + this.#serviceTimes.estimate(route) <= objective && !this.#queue.isNewAboveShare(request)) {
 			this.#contention.record(priority);
 		}
 
--- a/packages/upstreams/src/test/organisation-shares_test.ts
+++ b/packages/upstreams/src/test/organisation-shares_test.ts
@@ -1,6 +1,7 @@
 import {describe, it} from '@ebonylead/stand-ins/describe.js';
 import {FakeClock} from '@ebonylead/stand-ins/fake-clock.js';
 import {AdmissionControl} from '../admission.js';
+import {Cancellation} from '../cancellation.js';
 import {OrganisationShares} from '../organisation-shares.js';
 import {
 	buildRequest, release, submit, waitForImmediate,
@@ -33,6 +34,36 @@
 		t.true(busyStarts <= 6, `${busyStarts} starts of the other one`);
 	});
 
+	it('take no slot from late calls of others for calls above a share that lack one', async t => {
+		for (const organisation of ['busy', 'other']) {
+			const clock = new FakeClock();
+			const control = createControl(1, clock);
+			let running = await control.admit(buildRequest({organisation: 'busy'}));
+			const waiting = submit(control, buildRequest({organisation: 'other', priority: 5}));
+			let busy = waiting;
+			while (waiting.result === undefined) {
+				busy = submit(control, buildRequest({organisation: 'busy'}));
+				await waitForImmediate();
+				clock.jump(10);
+				release(running);
+				await waitForImmediate();
+				running = busy.result ?? waiting.result!;
+			}
+
+			const cancellation = new Cancellation();
+			submit(control, buildRequest({organisation, objective: clock.now() + 15, cancellation}));
+			await waitForImmediate();
+			cancellation.cancel(new Error('its caller left'));
+			clock.jump(10);
+			release(waiting.result);
+			await waitForImmediate();
+			release(busy.result!);
+			const late = submit(control, buildRequest({organisation: 'third', objective: clock.now()}));
+			await waitForImmediate();
+			t.is(late.result?.kind, organisation === 'busy' ? 'admitted' : 'refused', organisation);
+		}
+	});
+
 	it('refuse a call of the organisation that is furthest ahead when the queue is full', async t => {
 		const control = createControl(1);
 		await control.admit(buildRequest({organisation: 'busy'}));
