--- a/packages/stand-ins/src/load-emulator.ts
+++ b/packages/stand-ins/src/load-emulator.ts
@@ -20,6 +20,7 @@
 import {Cancellation} from '@ebonylead/upstreams/cancellation.js';
 import {OrganisationShares} from '@ebonylead/upstreams/organisation-shares.js';
 import {runOutcomes} from '@ebonylead/upstreams/run-observer.js';
+import {type Refusal} from '@ebonylead/upstreams/upstreams.js';
 import {
 	type CallClass, type CallClassResult, type EmulatedLoad, type EmulatedService, type LimitUsage,
 } from './emulated-load.js';
@@ -287,6 +288,7 @@
 		const age = startedAt + callClass.objective - objective;
 		let retryAfter = 0;
 		let hasReachedUpstream = false;
+		let lastRefusal: Refusal | undefined;
 		const isNested = callClass.rate === 0;
 		const late = chooser.contention.findRefusal(route, age);
 		if (late) {
@@ -326,7 +328,7 @@
 
 			if (admission.kind === 'refused') {
 				retryAfter = admission.refusal.retryAfter ?? 0;
-				chooser.contention.record(route, age, admission.refusal);
+				lastRefusal = admission.refusal;
 				if (admission.refusal.lacking !== undefined) {
 					chooser.recordCapacityRefusal(member, route, admission.refusal);
 				}
@@ -336,6 +338,10 @@
 			}
 		}
 
+		if (lastRefusal) {
+			chooser.contention.record(route, age, lastRefusal);
+		}
+
 		return {kind: 'refused', waited: this.#clock.now() - startedAt, retryAfter};
 	}
 
