Refuse late calls for lack of slots only where no less urgent calls would get these

Cause: the late calls of an urgent class gave way to its own calls in time, but the slots went to less urgent ones. Fix: they give way only while calls of lower priorities use hardly any slots. A refusal tells the entry node whether that is so.

--- a/packages/callers/src/attempt-refusals.ts
+++ b/packages/callers/src/attempt-refusals.ts
@@ -61,6 +61,7 @@
 		outcome,
 		hasReachedUpstream: headers[meshHeaders.arrived] !== undefined,
 		lacking: readCapacityLimit(headers),
+		isContended: headers[meshHeaders.contended] !== undefined,
 		reason: String(headers[meshHeaders.reason] ?? `the upstream answered with status ${status}`),
 		retryAfter: retryAfter > 0 ? retryAfter : undefined,
 	};
--- a/packages/callers/src/route-contention.ts
+++ b/packages/callers/src/route-contention.ts
@@ -3,7 +3,7 @@
 import {type Route} from '@ebonylead/rules/route-table.js';
 import {capacityLimits, outcomes, type Refusal} from '@ebonylead/upstreams/upstreams.js';
 
-/** Time in milliseconds for which a route counts as contended after a new call was refused by all upstreams that were asked; that for which a sidecar refuses late calls. */
+/** Time in milliseconds for which a route counts as contended after a new call was refused by all upstreams that were asked: as long as a sidecar refuses late calls. */
 const contentionMs = 500;
 
 /** Maximum number of routes; beyond it the route that was refused first is dropped. */
@@ -27,7 +27,7 @@
 	 * @param age Time in milliseconds from the caller's first attempt at the call to its arrival.
 	 */
 	record(route: Route, age: number, refusal: Refusal): void {
-		if (age > 0 || refusal.lacking !== capacityLimits.slots) {
+		if (age > 0 || !refusal.isContended || refusal.lacking !== capacityLimits.slots) {
 			return;
 		}
 
@@ -52,7 +52,7 @@
 		}
 
 		return {
-			...last.refusal, outcome: outcomes.notRun, hasReachedUpstream: false, lacking: undefined, reason: `calls in time lack slots: ${last.refusal.reason}`,
+			...last.refusal, outcome: outcomes.notRun, hasReachedUpstream: false, lacking: undefined, isContended: undefined, reason: `calls in time lack slots: ${last.refusal.reason}`,
 		};
 	}
 }
--- a/packages/callers/src/test/route-contention_test.ts
+++ b/packages/callers/src/test/route-contention_test.ts
@@ -9,7 +9,7 @@
 const {rules} = parseRuleFile('f', 'GET a.example/x -> s # A\nGET a.example/y -> s # A').unsafeCoerce();
 const [route, otherRoute] = new RouteTable({version: 1, rules: rules.map(rule => ({...rule, objective}))}).routes;
 const full: Refusal = {
-	status: 503, outcome: outcomes.notRun, reason: 'no slot', retryAfter: 120, lacking: capacityLimits.slots,
+	status: 503, outcome: outcomes.notRun, reason: 'no slot', retryAfter: 120, lacking: capacityLimits.slots, isContended: true,
 };
 
 function createContention() {
@@ -36,10 +36,11 @@
 		t.is(contention.findRefusal(route!, objective), undefined);
 	});
 
-	it('is shown only by the refusal of a new call for lack of slots', t => {
+	it('is shown only by the refusal of a new call for lack of slots, where late calls get none', t => {
 		const {contention} = createContention();
 		contention.record(route!, 1, full);
 		contention.record(route!, 0, {...full, lacking: undefined});
+		contention.record(route!, 0, {...full, isContended: false});
 		contention.record(route!, 0, {...full, lacking: capacityLimits.rate});
 		t.is(contention.findRefusal(route!, objective), undefined);
 	});
--- a/packages/upstreams/src/admission-refusals.ts
+++ b/packages/upstreams/src/admission-refusals.ts
@@ -29,8 +29,9 @@
  *
  * @param retryAfter Milliseconds after which the caller may retry.
  * @param isAboveShare Whether the call was above the share of its organisation; then the upstream may have capacity for others.
+ * @param isContended Whether calls of its priority that can only be late get no slots.
  */
-export function buildAdmissionRefusal(cause: AdmissionRefusalCause, retryAfter: number, isAboveShare: boolean): SidecarRefusal {
+export function buildAdmissionRefusal(cause: AdmissionRefusalCause, retryAfter: number, {isAboveShare, isContended}: {readonly isAboveShare: boolean; readonly isContended: boolean}): SidecarRefusal {
 	return {
 		status: statusUnavailable,
 		outcome: outcomes.notRun,
@@ -38,5 +39,6 @@
 		reason: reasons[cause],
 		retryAfter,
 		lacking: isAboveShare ? undefined : limitsByCause[cause],
+		...(isContended && {isContended}),
 	};
 }
--- a/packages/upstreams/src/admission.ts
+++ b/packages/upstreams/src/admission.ts
@@ -25,6 +25,9 @@
 /** Priority of short calls: above all others, as each holds a slot only briefly while the call that it was made for waits. */
 const shortCallPriority = -1;
 
+/** Share of the slots that calls of lower priorities use from which on they count as getting slots. */
+const maxLowerUsage = 0.05;
+
 /** Minimum time before its deadline at which a queued call is refused, so that the refusal arrives in time. */
 const minRefusalMarginMs = 20;
 
@@ -183,7 +186,7 @@
 		}
 
 		const isBestEffort = expectedEnd > request.objective && !isShort;
-		if (isBestEffort && this.#isContended(request)) {
+		if (isBestEffort && this.#mustGiveWay(request)) {
 			return this.#buildRefusal(request, isLimited ? refusalCauses.rateLimit : refusalCauses.objective);
 		}
 
@@ -203,15 +206,20 @@
 		return this.#rateLimit.rate === undefined ? this.#slots * maxBestEffortPerSlot : 0;
 	}
 
-	/** Returns whether calls that could be in time lack slots, as this late call shows or others have shown lately. */
-	#isContended(request: AdmissionRequest): boolean {
+	/** Returns whether a late call gives way to calls that could be in time, as it shows itself or others have shown lately. */
+	#mustGiveWay(request: AdmissionRequest): boolean {
 		const {route, objective, priority} = request;
 		// One above its share waits for the calls within theirs, and these give way to none.
 		if (this.#clock.now() + this.#serviceTimes.estimate(route) <= objective && !this.#queue.isNewAboveShare(request)) {
 			this.#contention.record(priority);
 		}
 
-		return this.#contention.isPresent(priority);
+		return this.#isContended(priority);
+	}
+
+	/** Returns whether calls in time lack slots, and the slot of a late call would go to these: where less urgent calls get slots, it would go to them. */
+	#isContended(priority: number): boolean {
+		return this.#contention.isPresent(priority) && this.#priorityUsage.computeLowerPriorityUsage(priority, this.#clock.now()) < this.#slots * maxLowerUsage;
 	}
 
 	#canStart(request: AdmissionRequest): boolean {
@@ -349,7 +357,7 @@
 			this.#queue.remove(next);
 			if (this.#clock.now() + this.#serviceTimes.estimate(request.route) > request.deadline) {
 				next.resolve(this.#buildRefusal(request, refusalCauses.deadlineNear));
-			} else if (next.priority !== shortCallPriority && this.#isExpectedLate(next) && this.#contention.isPresent(request.priority)) {
+			} else if (next.priority !== shortCallPriority && this.#isExpectedLate(next) && this.#isContended(request.priority)) {
 				next.resolve(this.#buildRefusal(request, refusalCauses.objective));
 			} else {
 				next.resolve(this.#startCall(request, usagePriority));
@@ -383,6 +391,7 @@
 
 	#buildRefusal(request: AdmissionRequest, cause: AdmissionRefusalCause): Admission {
 		const wait = this.#estimator.estimateWait(request, this.#isShort(request) ? shortCallPriority : request.priority, this.#slots);
-		return {kind: 'refused', refusal: buildAdmissionRefusal(cause, Math.max(minRetryAfterMs, Math.ceil(wait)), this.#queue.isNewAboveShare(request))};
+		const state = {isAboveShare: this.#queue.isNewAboveShare(request), isContended: this.#isContended(request.priority)};
+		return {kind: 'refused', refusal: buildAdmissionRefusal(cause, Math.max(minRetryAfterMs, Math.ceil(wait)), state)};
 	}
 }
--- a/packages/upstreams/src/refusals.ts
+++ b/packages/upstreams/src/refusals.ts
@@ -41,6 +41,10 @@
 		headers[meshHeaders.full] = refusal.lacking;
 	}
 
+	if (refusal.isContended) {
+		headers[meshHeaders.contended] = '1';
+	}
+
 	response.writeHead(refusal.status, headers);
 	response.end(body);
 }
--- a/packages/upstreams/src/service-times.ts
+++ b/packages/upstreams/src/service-times.ts
@@ -63,9 +63,18 @@
 
 	/** Returns the average number of slots in use by calls of higher priority, that is of lower numbers. */
 	computeHigherPriorityUsage(priority: number, now: number): number {
+		return this.#computeUsage(other => other < priority, now);
+	}
+
+	/** Returns the average number of slots in use by calls of lower priority, that is of higher numbers. */
+	computeLowerPriorityUsage(priority: number, now: number): number {
+		return this.#computeUsage(other => other > priority, now);
+	}
+
+	#computeUsage(isIncluded: (priority: number) => boolean, now: number): number {
 		let sum = 0;
-		for (const other of this.#usageByPriority.keys()) {
-			sum += other < priority ? this.#computeDecayed(other, now) : 0;
+		for (const priority of this.#usageByPriority.keys()) {
+			sum += isIncluded(priority) ? this.#computeDecayed(priority, now) : 0;
 		}
 
 		return sum / usageTimeConstantMs;
--- a/packages/upstreams/src/test/admission-overload_test.ts
+++ b/packages/upstreams/src/test/admission-overload_test.ts
@@ -185,6 +185,22 @@
 			t.is(late.result?.kind, 'admitted');
 		});
 
+		it('gives them a free slot while calls of a lower priority get some', async t => {
+			for (const lowerPriority of [1, 2]) {
+				const clock = new FakeClock();
+				const {control, running} = await createSaturated(clock, 1, 100);
+				release(running[0]!);
+				const lower = await control.admit(buildRequest({priority: lowerPriority}));
+				await clock.advance(200);
+				const lacking = submit(control, buildRequest({priority: 1, objective: clock.now() + 120}));
+				await waitForImmediate();
+				release(lower);
+				const late = submit(control, buildRequest({priority: 1, objective: clock.now()}));
+				await waitForImmediate();
+				t.is(late.result?.kind === 'admitted' || lacking.result?.kind === 'admitted', lowerPriority === 2, `beside calls of priority ${lowerPriority}`);
+			}
+		});
+
 		it('refuses those that have become late in the queue, when a slot is free and calls in time lack slots', async t => {
 			const clock = new FakeClock();
 			const {control, running} = await createSaturated(clock, 1, 100);
--- a/packages/upstreams/src/upstreams.ts
+++ b/packages/upstreams/src/upstreams.ts
@@ -44,6 +44,9 @@
 	/** One of `capacityLimits` on a refusal for lack of capacity. */
 	full: 'x-ebonylead-full',
 
+	/** `1` on a refusal for lack of slots where late calls get none either. */
+	contended: 'x-ebonylead-contended',
+
 	/** Key of the matching rule. */
 	route: 'x-ebonylead-route',
 
@@ -182,6 +185,9 @@
 
 	/** What the upstream is expected to lack for the call in time; undefined if it is not full. */
 	readonly lacking?: CapacityLimit;
+
+	/** Whether the upstream refuses calls that can only be late, as calls in time lack slots. */
+	readonly isContended?: boolean;
 };
 
 /** Announcement of an upstream to its sidecar. */
