Handle the failure of a waiting request at once

Found by reading: since a reader also reads the table when a response is overdue, a waiting request that failed before that (a reset connection, a lost history) was handled only 800 ms later, with the confirmation of the reader growing old meanwhile. The new test in table-follower_test.ts failed before.

--- a/packages/store/src/table-follower.ts
+++ b/packages/store/src/table-follower.ts
@@ -123,31 +123,39 @@
 	 * comes first: a store that reorganises its history may hold back only the responses to waiting requests.
 	 */
 	async #fetchChanges(cursor: number, signal: AbortSignal): Promise<FetchedChanges> {
-		const {store, table, maxWait} = this.#dependencies;
+		const {store, table, clock, maxWait} = this.#dependencies;
 		const wait = maxWait && this.#isFirstWait ? firstWaitMs : maxWait;
-		// Rows that have changed during a pause take their time on the way.
-		const transfer = this.#isFirstWait ? this.#readDuration : 0;
 		const controller = new AbortController();
 		const waiting = store.waitForChanges(table, cursor, AbortSignal.any([signal, controller.signal]), wait).then(page => ({page, isComplete: false}));
 		if (wait === undefined || this.#failures > 0) {
 			return waiting;
 		}
 
+		// Rows that have changed during a pause take their time on the way.
+		const transfer = this.#isFirstWait ? this.#readDuration : 0;
 		try {
-			return await Promise.any([waiting, this.#readWhenOverdue(wait + transfer + overdueMs, cursor, controller.signal)]);
-		} catch {
-			return await waiting;
+			const overdue = clock.sleep(wait + transfer + overdueMs, controller.signal).then(() => undefined);
+			return await Promise.race([waiting, overdue]) ?? await this.#readOverdue(waiting, cursor);
 		} finally {
 			controller.abort();
 		}
 	}
 
+	/** Reads the table while a request waits whose response is overdue; fails if both do. */
+	async #readOverdue(waiting: Promise<FetchedChanges>, cursor: number): Promise<FetchedChanges> {
+		const {table, log} = this.#dependencies;
+		log.info({table, revision: cursor}, 'Reading the table, as the response to a waiting request is overdue');
+		try {
+			return await Promise.any([waiting, this.#readFrom(cursor)]);
+		} catch {
+			// Its reason is that of the request that would have been enough.
+			return waiting;
+		}
+	}
+
 	/** @throws StepError if the rows are of an earlier time than those that are known. */
-	async #readWhenOverdue(delay: number, cursor: number, signal: AbortSignal): Promise<FetchedChanges> {
-		const {store, table, clock, log} = this.#dependencies;
-		await clock.sleep(delay, signal);
-		signal.throwIfAborted();
-		log.info({table, revision: cursor, delay}, 'Reading the table, as the response to a waiting request is overdue');
+	async #readFrom(cursor: number): Promise<FetchedChanges> {
+		const {store, table} = this.#dependencies;
 		const page = await store.readTable(table);
 		if (page.era === this.#era && page.revision < cursor) {
 			throw new StepError('read table', table, `the rows are of revision ${page.revision}, before ${cursor}`);
--- a/packages/store/src/test/table-follower_test.ts
+++ b/packages/store/src/test/table-follower_test.ts
@@ -194,4 +194,26 @@
 		await clock.advance(10_000);
 		await running;
 	});
+
+	it('tries again at once when a waiting request fails', async t => {
+		const store = new SilentFeedStore();
+		store.setValue('t', 'a', '1');
+		const clock = new FakeClock();
+		const controller = new AbortController();
+		const follower = new TableFollower({
+			store, table: 't', clock, log: createLogger('silent'), maxWait, onRows: () => undefined,
+		});
+		const running = follower.run(controller.signal);
+		await clock.advance(1);
+		store.isDown = true;
+		store.setValue('t', 'b', '1');
+		await clock.advance(1);
+		t.true(follower.isUnavailable);
+		store.isDown = false;
+		await clock.advance(200);
+		t.false(follower.isUnavailable);
+		controller.abort();
+		await clock.advance(10_000);
+		await running;
+	});
 });
