Bound the deadline timer of an attempt by what a timer can wait

A node that got an attempt with a deadline further away than 2^31 ms cancelled it after 1 ms: the timer fired at once in place of never. Entry nodes send no such deadline, as the rule bounds it, so callers saw nothing. The new test in late-attempt_test.ts failed before.

--- a/packages/callers/src/test/late-attempt_test.ts
+++ b/packages/callers/src/test/late-attempt_test.ts
@@ -27,3 +27,18 @@
 		});
 	}
 });
+
+describe('an attempt whose deadline is further away than a timer can wait', () => {
+	it('is not cancelled at once', async t => {
+		await withHarness(async harness => {
+			const vm = await harness.addVm((_request, response) => {
+				setTimeout(() => {
+					response.end('ok');
+				}, 50);
+			});
+			const {statusCode, body} = await request(`http://127.0.0.1:${vm.meshListener.port}/x`, {headers: {host: 'a.example', 'x-ebonylead-deadline': '99999999999999'}});
+			t.is(await body.text(), 'ok');
+			t.is(statusCode, 200);
+		});
+	});
+});
--- a/packages/upstreams/src/mesh-call.ts
+++ b/packages/upstreams/src/mesh-call.ts
@@ -20,6 +20,9 @@
 const interimResponseIntervalMs = 100;
 const firstAttempt = '1';
 
+/** Longest delay in milliseconds of a timer of Node; a longer one fires at once. */
+const maxTimerMs = (2 ** 31) - 1;
+
 /** Share of accepted requests from which on the upstream counts as refusing none. */
 const maxReportedAcceptance = 0.95;
 const statusUnavailable = 503;
@@ -60,7 +63,7 @@
 
 		const deadlineTimer = setTimeout(() => {
 			this.#cancellation.cancel(new Error('the deadline passed'));
-		}, Math.max(0, this.#times.timeLeft));
+		}, Math.min(maxTimerMs, Math.max(0, this.#times.timeLeft)));
 		const interimTimer = this.#attemptId === undefined ? this.#startInterimResponses() : undefined;
 		this.#response.on('close', () => {
 			this.#attempt?.setEnded();
