--- a/packages/callers/src/call.ts
+++ b/packages/callers/src/call.ts
@@ -10,7 +10,7 @@
 import {LargeBody} from '@ebonylead/upstreams/large-body.js';
 import {discardBody, type RequestBody} from '@ebonylead/upstreams/request-body.js';
 import {readPositiveInteger} from '@ebonylead/upstreams/request-headers.js';
-import {isShortCall} from '@ebonylead/upstreams/short-calls.js';
+import {isNestedCall} from '@ebonylead/upstreams/nested-calls.js';
 import {meshHeaders, outcomes, type Refusal} from '@ebonylead/upstreams/upstreams.js';
 import {chooseService} from './service-split.js';
 import {
@@ -128,7 +128,7 @@
 		const callerDeadline = this.#dependencies.protocol.readDeadline(this.#request) ?? route.rule.deadline;
 		this.#age = this.#dependencies.callAges.estimate(route.key, callerDeadline);
 		this.#deadline = Math.min(route.rule.deadline, callerDeadline);
-		this.#isNested = this.#age === 0 && isShortCall(this.#deadline, route.rule.objective ?? this.#deadline);
+		this.#isNested = this.#age === 0 && isNestedCall(this.#deadline, route.rule.objective ?? this.#deadline);
 		const timer = setTimeout(() => {
 			this.#cancellation.cancel(new Error('the deadline passed'));
 		}, this.#timeLeft);
--- a/packages/upstreams/src/admission.ts
+++ b/packages/upstreams/src/admission.ts
@@ -9,7 +9,7 @@
 import {RateLimit} from './rate-limit.js';
 import {RunningCalls} from './running-calls.js';
 import {PriorityUsage, ServiceTimes} from './service-times.js';
-import {isShortCall} from './short-calls.js';
+import {isNestedCall} from './nested-calls.js';
 import {refusalCauses} from './upstreams.js';
 import {WaitEstimator} from './wait-estimator.js';
 
@@ -22,8 +22,8 @@
 /** Maximum number of queued calls per slot that are expected to miss their objective; they fill slots that would be idle. */
 const maxBestEffortPerSlot = 0.25;
 
-/** Priority of short calls: above all others, as each holds a slot only briefly while the call that it was made for waits. */
-const shortCallPriority = -1;
+/** Priority of nested calls: above all others, as each holds a slot only briefly while the call that it was made for waits. */
+const nestedCallPriority = -1;
 
 /** Share of the slots that calls of lower priorities use from which on they count as getting slots. */
 const maxLowerUsage = 0.05;
@@ -176,8 +176,8 @@
 			return this.#buildRefusal(request, refusalCauses.cancelled);
 		}
 
-		const isShort = this.#isShort(request);
-		const priority = isShort ? shortCallPriority : request.priority;
+		const isNested = this.#isNested(request);
+		const priority = isNested ? nestedCallPriority : request.priority;
 		const isImmediate = this.#queue.length === 0 && this.#canStart(request);
 		const expectedEnd = this.#clock.now() + (isImmediate ? 0 : this.#estimator.estimateWait(request, priority, this.#slots)) + this.#serviceTimes.estimate(request.route);
 		const isLimited = !isImmediate && this.#estimator.isWaitForRate(request, priority, this.#slots);
@@ -185,7 +185,7 @@
 			return this.#buildRefusal(request, isLimited ? refusalCauses.rateLimit : refusalCauses.deadline);
 		}
 
-		const isBestEffort = expectedEnd > request.objective && !isShort;
+		const isBestEffort = expectedEnd > request.objective && !isNested;
 		if (isBestEffort && this.#mustGiveWay(request)) {
 			return this.#buildRefusal(request, isLimited ? refusalCauses.rateLimit : refusalCauses.objective);
 		}
@@ -308,7 +308,7 @@
 
 	/** Refuses queued calls that miss their objective: while there is a limit, those in time take all of its tokens. */
 	#refuseLate(): void {
-		const late = this.#queue.listAll().filter(queued => queued.priority !== shortCallPriority && this.#isExpectedLate(queued));
+		const late = this.#queue.listAll().filter(queued => queued.priority !== nestedCallPriority && this.#isExpectedLate(queued));
 		for (const queued of late) {
 			this.#queue.remove(queued);
 		}
@@ -357,7 +357,7 @@
 			this.#queue.remove(next);
 			if (this.#clock.now() + this.#serviceTimes.estimate(request.route) > request.deadline) {
 				next.resolve(this.#buildRefusal(request, refusalCauses.deadlineNear));
-			} else if (next.priority !== shortCallPriority && this.#isExpectedLate(next) && this.#isContended(request.priority)) {
+			} else if (next.priority !== nestedCallPriority && this.#isExpectedLate(next) && this.#isContended(request.priority)) {
 				next.resolve(this.#buildRefusal(request, refusalCauses.objective));
 			} else {
 				next.resolve(this.#startCall(request, usagePriority));
@@ -378,9 +378,9 @@
 	}
 
 	/** Whether only the deadline of the call is considered. */
-	#isShort({deadline, objective}: AdmissionRequest): boolean {
+	#isNested({deadline, objective}: AdmissionRequest): boolean {
 		const now = this.#clock.now();
-		return isShortCall(deadline - now, objective - now);
+		return isNestedCall(deadline - now, objective - now);
 	}
 
 	/** Computes the number of slots that an upstream with a limit keeps busy. */
@@ -390,7 +390,7 @@
 	}
 
 	#buildRefusal(request: AdmissionRequest, cause: AdmissionRefusalCause): Admission {
-		const wait = this.#estimator.estimateWait(request, this.#isShort(request) ? shortCallPriority : request.priority, this.#slots);
+		const wait = this.#estimator.estimateWait(request, this.#isNested(request) ? nestedCallPriority : request.priority, this.#slots);
 		const state = {isAboveShare: this.#queue.isNewAboveShare(request), isContended: this.#isContended(request.priority)};
 		return {kind: 'refused', refusal: buildAdmissionRefusal(cause, Math.max(minRetryAfterMs, Math.ceil(wait)), state)};
 	}
