--- a/packages/stand-ins/src/fake-row-store.ts
+++ b/packages/stand-ins/src/fake-row-store.ts
@@ -1,4 +1,5 @@
 /** In-memory row store with faults on demand. */
+import {type Clock} from '@ebonylead/base/base.js';
 import {OutcomeUnknownError, StepError} from '@ebonylead/base/errors.js';
 import {
 	HistoryLostError, type RowPage, type RowStore, type SharedRow, type WriteOutcome,
@@ -19,12 +20,18 @@
 
 	/** Number of further writes that take effect, but whose responses are lost. */
 	lostResponses = 0;
+	readonly #clock: Clock | undefined;
 	#rows = new Map<string, SharedRow>();
 	readonly #waiters = new Set<() => void>();
 	#revision = 0;
 	#era = 0;
 	#firstKeptRevision = 0;
 
+	/** @param clock By which waiting requests end after their longest wait; undefined if they wait until a write. */
+	constructor(clock?: Clock) {
+		this.#clock = clock;
+	}
+
 	/** Returns the value of a row; undefined if there is none. */
 	findValue(table: string, key: string): string | undefined {
 		return this.#rows.get(`${table}/${key}`)?.value;
@@ -73,11 +80,11 @@
 		return {rows: this.#listRows(table).filter(row => row.value !== undefined), revision: this.#revision, era: this.#era};
 	}
 
-	async waitForChanges(table: string, after: number, signal: AbortSignal): Promise<RowPage> {
+	async waitForChanges(table: string, after: number, signal: AbortSignal, maxWait?: number): Promise<RowPage> {
 		this.#throwIfDown();
 		const hasHistory = () => after >= this.#firstKeptRevision && after <= this.#revision;
 		if (hasHistory() && !this.#listRows(table).some(row => row.revision > after)) {
-			await this.#waitForWrite(signal);
+			await this.#waitForWrite(signal, maxWait);
 		}
 
 		this.#throwIfDown();
@@ -115,7 +122,7 @@
 		}
 	}
 
-	async #waitForWrite(signal: AbortSignal): Promise<void> {
+	async #waitForWrite(signal: AbortSignal, maxWait: number | undefined): Promise<void> {
 		await new Promise<void>(resolve => {
 			const wake = () => {
 				this.#waiters.delete(wake);
@@ -125,6 +132,9 @@
 
 			this.#waiters.add(wake);
 			signal.addEventListener('abort', wake);
+			if (this.#clock && maxWait !== undefined) {
+				void this.#clock.sleep(maxWait, signal).then(wake);
+			}
 		});
 	}
 }
