Compare the id of each answer before it counts as "not run"

Cause: validateResponse returned "not run" for 421 and Not-Executed before it compared the Request-Id, so that a copy of a refusal of an earlier request counted for the one that was running. The class is a message that is acted on before it is known to belong to its exchange. By the same cause a copy of a 421 took a sound upstream out of use, notices of a copy counted, and the connection was used again while its upstream was at work.

Now the id is compared first; an answer with another id closes its connection and the request ends as one that may have run.

The cause `foreign-response` tells such copies apart from lost connections in metrics and summaries.

--- a/packages/upstreams/src/admission-refusals.ts
+++ b/packages/upstreams/src/admission-refusals.ts
@@ -4,7 +4,7 @@
 } from './upstreams.js';
 
 /** Why admission control refuses a call. */
-export type AdmissionRefusalCause = Exclude<RefusalCause, 'other-service' | 'quarantined' | 'upstream' | 'unreachable' | 'unanswered'>;
+export type AdmissionRefusalCause = Exclude<RefusalCause, 'other-service' | 'quarantined' | 'upstream' | 'foreign-response' | 'unreachable' | 'unanswered'>;
 
 const statusUnavailable = 503;
 
--- a/packages/upstreams/src/forward.ts
+++ b/packages/upstreams/src/forward.ts
@@ -188,7 +188,15 @@
 			return;
 		}
 
-		if (this.#validation.kind === 'not-run' || !this.#options.isForwardable(status, headers)) {
+		if (this.#validation.kind === 'not-run') {
+			if (this.#validation.isLastOnConnection) {
+				controller.abort(new Error(this.#validation.reason));
+			}
+
+			return;
+		}
+
+		if (!this.#options.isForwardable(status, headers)) {
 			return;
 		}
 
--- a/packages/upstreams/src/sidecar-call.ts
+++ b/packages/upstreams/src/sidecar-call.ts
@@ -14,6 +14,9 @@
 import {type RefusalMetrics} from './refusal-metrics.js';
 import {type RequestBody} from './request-body.js';
 import {findRunOutcome, type RunObserver} from './run-observer.js';
+import {
+	buildCancelledRefusal, buildShedRefusal, buildUnansweredRefusal, buildUnreachableRefusal,
+} from './run-refusals.js';
 import {type CarriedNotice} from './upstream-notice.js';
 import {type ResponseValidation, type UpstreamProtocol} from './upstream-protocol.js';
 import {
@@ -102,19 +105,12 @@
 /** How a call ended. Nothing was written to the client if it was refused, or rejected by `isForwardable`. */
 export type SidecarResult = SidecarRefused | Extract<ForwardResult, {kind: 'answered' | 'rejected' | 'cut'}>;
 
-const unreachableRetryAfterMs = 1000;
-
 /** Time in milliseconds from which on a call counts as one that waited for a slot. */
 const minWaitMs = 1;
 
 /** Share of its deadline that a call must have left for its cancellation to count as that of its caller: the time on the way of the first attempts between two nodes is not known, and was up to 37 ms on a busy machine. */
 const minAbandonedShare = 0.1;
-
-/** Retry delay after the upstream itself did not execute a call: an upstream that sheds calls beyond its slots has free capacity again soon. */
-const shedRetryAfterMs = 200;
-const statusBadGateway = 502;
 const statusUnavailable = 503;
-const statusTimeout = 504;
 
 /** Decides on one call by the rules of the sidecar, and runs it. */
 export class SidecarCall {
@@ -122,6 +118,9 @@
 	readonly #request: SidecarRequest;
 	#body: RequestBody;
 
+	/** Whether the response that arrived belongs to another call. */
+	#isResponseForeign = false;
+
 	constructor(dependencies: SidecarDependencies, request: SidecarRequest) {
 		this.#dependencies = dependencies;
 		this.#request = request;
@@ -311,6 +310,7 @@
 			cancellation,
 			validateResponse: (status, responseHeaders) => {
 				const validation = protocol.validateResponse(status, responseHeaders, headers);
+				this.#isResponseForeign = validation.kind === 'invalid' && validation.isForeign === true;
 				this.#recordNotice(validation, responseHeaders, incarnation, requestedAt);
 				return validation;
 			},
@@ -351,9 +351,7 @@
 					localUpstream.handleOtherInstance();
 				}
 
-				return this.refuse({
-					status: statusUnavailable, outcome: outcomes.notRun, cause: refusalCauses.upstream, reason: result.reason, retryAfter: shedRetryAfterMs, hasReachedUpstream: true,
-				});
+				return this.refuse(buildShedRefusal(result.reason));
 			}
 
 			case 'unsent': {
@@ -361,13 +359,7 @@
 					localUpstream.handleConnectionRefused();
 				}
 
-				return this.refuse({
-					status: statusUnavailable,
-					outcome: outcomes.notRun,
-					cause: refusalCauses.unreachable,
-					reason: `the upstream can not be reached: ${describeError(result.error)}`,
-					retryAfter: unreachableRetryAfterMs,
-				});
+				return this.refuse(buildUnreachableRefusal(result.error));
 			}
 
 			case 'unanswered': {
@@ -383,16 +375,11 @@
 	}
 
 	async #handleNoResponse(call: InFlightCall, error: Error): Promise<SidecarRefused> {
-		const reason = `the upstream did not answer: ${describeError(error)}`;
 		if (this.#request.cancellation.isCancelled) {
-			return this.refuse({
-				status: statusTimeout, outcome: outcomes.unknown, cause: refusalCauses.cancelled, reason,
-			});
+			return this.refuse(buildCancelledRefusal(error));
 		}
 
 		await this.#dependencies.crashDetector.handleLostConnection(call);
-		return this.refuse({
-			status: statusBadGateway, outcome: outcomes.unknown, cause: refusalCauses.unanswered, reason,
-		});
+		return this.refuse(buildUnansweredRefusal(error, this.#isResponseForeign));
 	}
 }
--- a/packages/upstreams/src/upstream-protocol.ts
+++ b/packages/upstreams/src/upstream-protocol.ts
@@ -28,10 +28,10 @@
 export type ResponseValidation
 	/** The response of the upstream to this call. */
 	= | {readonly kind: 'final'}
-	/** The upstream did not execute the call. */
-		| {readonly kind: 'not-run'; readonly reason: string; readonly isOtherInstance?: boolean}
-	/** Not the response of the upstream to this call, which may have been executed. */
-		| {readonly kind: 'invalid'; readonly reason: string};
+	/** The upstream did not execute the call. With `isLastOnConnection` the connection must not be used again, as the response does not name its request. */
+		| {readonly kind: 'not-run'; readonly reason: string; readonly isOtherInstance?: boolean; readonly isLastOnConnection?: boolean}
+	/** Not the response of the upstream to this call, which may have been executed; with `isForeign`, one to another call. */
+		| {readonly kind: 'invalid'; readonly reason: string; readonly isForeign?: boolean};
 
 /** Protocol between sidecars and their upstreams. */
 export type UpstreamProtocol = {
--- a/packages/upstreams/src/upstreams.ts
+++ b/packages/upstreams/src/upstreams.ts
@@ -140,6 +140,9 @@
 	/** Upstreams crashed while an equal request was in flight. */
 	quarantined: 'quarantined',
 
+	/** A response to another call arrived in place of the one to this call, which may have run. */
+	foreignResponse: 'foreign-response',
+
 	/** The upstream responded that it did not execute the call. */
 	upstream: 'upstream',
 
