--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -34,7 +34,7 @@
 import {createLoadBalancing} from './load-balancing.js';
 import {MemberDirectory} from './member-directory.js';
 import {type MeshNodeDependencies} from './mesh-node-settings.js';
-import {readArrivedRequests} from './final-reads.js';
+import {flushResponses} from './final-responses.js';
 import {createQuotas, type NodeQuotas} from './node-quotas.js';
 import {createRollouts, type NodeRollouts} from './node-rollouts.js';
 import {HttpFeedTransport, parsePosition} from './feed-transport.js';
@@ -58,11 +58,6 @@
 /** Timeout for writing the row of a stopping node to the store. */
 const leaveWriteTimeoutMs = 500;
 
-/** Time for sending the responses of cancelled calls before the connections are cut. */
-const responseFlushMs = 150;
-
-/** Maximum time for the bytes of these responses to leave this process; an open feed to a slow node must not hold up the stop. */
-const maxFlushMs = 1000;
 const drainPollIntervalMs = 20;
 
 /** Number of readers in each data centre: one reads the rules from the store for the others, one stands by. */
@@ -294,13 +289,7 @@
 
 		const cut = this.#inFlightCount;
 		this.#callerListener.cancelCalls('this node stops');
-		await this.#clock.sleep(responseFlushMs);
-		await readArrivedRequests();
-		const flushEnd = Math.min(deadline, this.#clock.now() + maxFlushMs);
-		while ((this.#callerListener.hasUnsentBytes || this.#meshListener.hasUnsentBytes) && this.#clock.now() < flushEnd) {
-			await this.#clock.sleep(drainPollIntervalMs);
-		}
-
+		await flushResponses([this.#callerListener, this.#meshListener], deadline, this.#clock);
 		this.#log.info({cut, duration: Math.round(this.#clock.now() - startedAt)}, 'Stopped');
 		await this.close();
 		return cut;
