Ask an upstream whether it leaves before a new process of its node uses it

Cause: the acknowledgement does not depend on the row of the node. The write is tried for 600 ms, and the leave is acknowledged whether it was written or not; the next process takes "ready" from the row. The class is an acknowledgement of something that is kept nowhere that outlives the process.

Now a process uses no upstream that an earlier process of its node may have known, by its row or by a heartbeat of one that started before, until that says on its health path that it is ready. PROTOCOL.md: it "returns 200 while the upstream considers itself healthy and is not leaving, with the upstream's ID in Instance-Id". What was acknowledged is thus kept where it is known best, and holds if all nodes are killed. An upstream that does not answer is used by its heartbeats, as before. The log says whether an acknowledged leave is in the row.

--- a/packages/node/src/announcement-handler.ts
+++ b/packages/node/src/announcement-handler.ts
@@ -5,9 +5,20 @@
 import {AnnouncementOrder, type AnnouncementStamp} from '@ebonylead/upstreams/announcement-order.js';
 import {buildIncarnationKey} from '@ebonylead/upstreams/upstream-notice.js';
 import {type LocalUpstream, type UpstreamStatus} from '@ebonylead/upstreams/local-upstream.js';
+import {upstreamConditions} from '@ebonylead/upstreams/upstream-check.js';
 import {type UpstreamAnnouncement} from '@ebonylead/upstreams/upstreams.js';
 import {type MemberDirectory} from './member-directory.js';
 import {type RecordedUpstream} from './member-row.js';
+import {type UpstreamConfirmation} from './upstream-confirmation.js';
+
+/** Dependencies of `AnnouncementHandler`. */
+export type AnnouncementHandlerDependencies = {
+	readonly localUpstream: LocalUpstream;
+	readonly directory: MemberDirectory;
+	readonly confirmation: UpstreamConfirmation;
+	readonly clock: Clock;
+	readonly log: Logger;
+};
 
 /** An announcement with the stamp that orders it. */
 export type StampedAnnouncement = {
@@ -26,19 +37,23 @@
  *
  * When an upstream leaves, this node stops admitting calls to it before it
  * acknowledges the announcement. From then on the upstream gets no more calls,
- * even if other nodes learn of its leaving late.
+ * even if other nodes learn of its leaving late. A later process of this node
+ * learns of it from the row, or else from the upstream itself: it uses none of
+ * before its own start that does not confirm that it stays.
  */
 export class AnnouncementHandler {
 	readonly #localUpstream: LocalUpstream;
 	readonly #directory: MemberDirectory;
+	readonly #confirmation: UpstreamConfirmation;
 	readonly #clock: Clock;
 	readonly #log: Logger;
 	readonly #order = new AnnouncementOrder();
 	#newest: RecordedUpstream | undefined;
 
-	constructor(localUpstream: LocalUpstream, directory: MemberDirectory, clock: Clock, log: Logger) {
+	constructor({localUpstream, directory, confirmation, clock, log}: AnnouncementHandlerDependencies) {
 		this.#localUpstream = localUpstream;
 		this.#directory = directory;
+		this.#confirmation = confirmation;
 		this.#clock = clock;
 		this.#log = log;
 	}
@@ -53,9 +68,14 @@
 
 		const before = this.#localUpstream.status.value.state;
 		this.#newest = {announcement, stamp};
+		if (announcement.state === 'ready' && this.#confirmation.isNeeded(stamp)) {
+			void this.#confirmNewest(true);
+			return;
+		}
+
 		this.#localUpstream.applyAnnouncement(announcement);
 		if (announcement.state === 'draining' && before !== 'draining') {
-			await this.#updateMember(this.#localUpstream.status.value, leaveWriteTimeoutMs);
+			await this.#recordLeave(stamp);
 		}
 	}
 
@@ -81,20 +101,33 @@
 		}
 
 		this.#newest = {announcement, stamp};
-		this.#localUpstream.applyAnnouncement({...announcement, state: state === UpstreamState.READY && !hasEnded ? 'ready' : 'draining'});
+		const isReady = state === UpstreamState.READY && !hasEnded && !hasLeft;
 		this.#log.info({stamp, state, hasEnded}, 'Restored the upstream that an earlier process of this node recorded');
+		if (isReady && this.#confirmation.isNeededForRecorded(stamp)) {
+			// The row stays as it is until the upstream answers.
+			void this.#updateMember({...announcement, state: 'ready'}, 0);
+			void this.#confirmNewest(false);
+			return;
+		}
+
+		this.#localUpstream.applyAnnouncement({...announcement, state: isReady ? 'ready' : 'draining'});
 	}
 
 	/** Handles the message of an upstream process that it has ended or is about to end. */
 	async handleEnd(instance: string, startedAt: number | undefined): Promise<void> {
 		this.#order.recordEnd(instance, startedAt, this.#clock.wallTime());
-		if (this.#localUpstream.instance !== instance) {
-			this.#log.info({instance, known: this.#localUpstream.instance}, 'Ignored the end of an upstream process that is not in use');
+		if (this.#newest?.stamp.instance !== instance) {
+			this.#log.info({instance, known: this.#newest?.stamp.instance}, 'Ignored the end of an upstream process that is not in use');
 			return;
 		}
 
+		if (this.#localUpstream.instance !== instance) {
+			// It was not confirmed yet; its row must say that it leaves all the same.
+			this.#localUpstream.applyAnnouncement({...this.#newest.announcement, state: 'draining'});
+		}
+
 		this.#localUpstream.drain();
-		await this.#updateMember(this.#localUpstream.status.value, leaveWriteTimeoutMs);
+		await this.#recordLeave(this.#newest.stamp);
 	}
 
 	/** Writes each change of the upstream's state to this node's member record. */
@@ -104,9 +137,37 @@
 		});
 	}
 
-	async #updateMember({state, service, slots, version}: UpstreamStatus, timeout: number): Promise<void> {
-		const {hasLeft} = this.#localUpstream;
+	/**
+	 * Asks the newest upstream process whether it leaves, and uses it if not.
+	 *
+	 * @param isAnnounced Whether the process has announced itself to this process of the node. If it does not answer, that is enough to use it, and the row is not.
+	 */
+	async #confirmNewest(isAnnounced: boolean): Promise<void> {
+		const asked = this.#newest!;
+		const condition = await this.#confirmation.ask(asked);
+		const {announcement, stamp} = this.#newest!;
+		const isAskedProcess = stamp.instance === asked.stamp.instance && stamp.startedAt === asked.stamp.startedAt;
+		if (!isAskedProcess || announcement.state !== 'ready' || this.#order.hasEnded(stamp)) {
+			return;
+		}
+
+		if (condition === upstreamConditions.ready || (condition === upstreamConditions.unknown && isAnnounced)) {
+			this.#confirmation.recordConfirmed(stamp);
+			this.#localUpstream.applyAnnouncement(announcement);
+		} else if (condition === upstreamConditions.notReady && this.#localUpstream.status.value.state === 'absent') {
+			await this.#updateMember({...announcement, state: 'absent'}, 0);
+		}
+	}
+
+	/** Writes to the row of this node that the upstream leaves, if the store answers in time. */
+	async #recordLeave(stamp: AnnouncementStamp): Promise<void> {
+		const isWritten = await this.#updateMember(this.#localUpstream.status.value, leaveWriteTimeoutMs);
+		this.#log.info({stamp, isWritten}, 'Acknowledging that the upstream leaves');
+	}
+
+	async #updateMember({state, service, slots, version}: UpstreamStatus, timeout: number): Promise<boolean> {
+		const hasLeft = this.#newest !== undefined && this.#localUpstream.hasProcessLeft(buildIncarnationKey(this.#newest.stamp.instance, this.#newest.stamp.startedAt));
 		const changes = {upstreamState: upstreamStates[state], service, slots};
-		await this.#directory.update(version === undefined ? changes : {...changes, upstreamVersion: version}, timeout, this.#newest && {...this.#newest, hasLeft});
+		return this.#directory.update(version === undefined ? changes : {...changes, upstreamVersion: version}, timeout, this.#newest && {...this.#newest, hasLeft});
 	}
 }
--- a/packages/node/src/member-directory.ts
+++ b/packages/node/src/member-directory.ts
@@ -110,18 +110,23 @@
 		return this.#follower.isUnavailable;
 	}
 
-	/** Updates the record of this node. Resolves when the record has been written to the store, or after the timeout in milliseconds. */
-	async update(changes: Partial<Member>, timeout: number, upstream?: RecordedUpstream): Promise<void> {
+	/** Updates the record of this node. Resolves when the record has been written to the store, or after the timeout in milliseconds; to whether it has been written. */
+	async update(changes: Partial<Member>, timeout: number, upstream?: RecordedUpstream): Promise<boolean> {
 		this.#upstream = upstream ?? this.#upstream;
 		this.#self = {...this.#self, ...changes};
 		this.#mergeSelf();
-		const done = new Promise<void>(resolve => {
-			this.#writeWaiters.push(resolve);
+		let isWritten = false;
+		const written = new Promise<void>(resolve => {
+			this.#writeWaiters.push(() => {
+				isWritten = true;
+				resolve();
+			});
 		});
 		this.#wake?.();
 		const controller = new AbortController();
-		await Promise.race([done, this.#dependencies.clock.sleep(timeout, controller.signal)]);
+		await Promise.race([written, this.#dependencies.clock.sleep(timeout, controller.signal)]);
 		controller.abort();
+		return isWritten;
 	}
 
 	/** Follows the table and writes the row of this node until the signal is aborted. */
--- a/packages/node/src/mesh-node-settings.ts
+++ b/packages/node/src/mesh-node-settings.ts
@@ -6,6 +6,7 @@
 import {type RolloutSettings} from '@ebonylead/rollouts/rollouts.js';
 import {type RuleSource} from '@ebonylead/rules/rule-source.js';
 import {type RowStore} from '@ebonylead/store/row-store.js';
+import {type UpstreamCheck} from '@ebonylead/upstreams/upstream-check.js';
 import {type UpstreamProtocol} from '@ebonylead/upstreams/upstream-protocol.js';
 import {type Registry} from 'prom-client';
 
@@ -64,6 +65,9 @@
 	readonly ruleSource: RuleSource;
 	readonly callerProtocol: CallerProtocol;
 	readonly upstreamProtocol: UpstreamProtocol;
+
+	/** Asks the local upstream whether it leaves; undefined where it can't be asked. */
+	readonly upstreamCheck?: UpstreamCheck;
 	readonly registry: Registry;
 
 	/** Orders and recorded states of roll-outs; undefined where there are none. */
--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -48,6 +48,7 @@
 import {RulesHistory} from './rules-history.js';
 import {RulesSync} from './rules-sync.js';
 import {AnnouncementHandler, upstreamStates} from './announcement-handler.js';
+import {UpstreamConfirmation} from './upstream-confirmation.js';
 
 /** Time for which a stopping node still accepts calls, so that callers can see that it is not ready before it refuses them. */
 const shutdownDelayMs = 3000;
@@ -124,7 +125,10 @@
 				}
 			},
 		});
-		this.announcementHandler = new AnnouncementHandler(this.#localUpstream, this.#directory, clock, this.#createLog('upstream'));
+		const upstreamLog = this.#createLog('upstream');
+		this.announcementHandler = new AnnouncementHandler({
+			localUpstream: this.#localUpstream, directory: this.#directory, confirmation: new UpstreamConfirmation(dependencies.upstreamCheck, clock, upstreamLog), clock, log: upstreamLog,
+		});
 		registerUpstreamMetrics(registry, this.#localUpstream);
 		this.quarantine = new Quarantine(clock, this.#createLog('mesh'), records => {
 			this.#crashGossip.spread(records);
@@ -247,6 +251,11 @@
 		return this.#rollouts?.describe();
 	}
 
+	/** Returns the path at which upstreams of a service tell whether they are ready; undefined if it is not known. */
+	findHealthPath(service: string): string | undefined {
+		return this.#history.current?.healthPaths?.[service];
+	}
+
 	/** Opens the listeners and starts the background tasks. */
 	async start(): Promise<void> {
 		const {settings} = this.#dependencies;
--- a/packages/node/src/test/announcement-handler_test.ts
+++ b/packages/node/src/test/announcement-handler_test.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {SystemClock} from '@ebonylead/base/base.js';
 import {createLogger} from '@ebonylead/base/logs.js';
 import {MemberState, UpstreamState} from '@ebonylead/peers/generated/peers.js';
@@ -6,8 +7,10 @@
 import {FakeRowStore} from '@ebonylead/stand-ins/fake-row-store.js';
 import {waitUntil} from '@ebonylead/stand-ins/wait-until.js';
 import {LocalUpstream} from '@ebonylead/upstreams/local-upstream.js';
+import {upstreamConditions, type UpstreamCheck, type UpstreamCondition} from '@ebonylead/upstreams/upstream-check.js';
 import {AnnouncementHandler, type StampedAnnouncement} from '../announcement-handler.js';
 import {MemberDirectory} from '../member-directory.js';
+import {UpstreamConfirmation} from '../upstream-confirmation.js';
 
 const log = createLogger('silent');
 
@@ -25,6 +28,7 @@
 	store: FakeRowStore,
 	run: (handler: AnnouncementHandler, localUpstream: LocalUpstream) => Promise<void>,
 	runBefore: (handler: AnnouncementHandler) => Promise<void> = async () => undefined,
+	upstreamCheck?: UpstreamCheck,
 ): Promise<void> {
 	const controller = new AbortController();
 	const localUpstream = new LocalUpstream(new SystemClock(), log);
@@ -55,7 +59,10 @@
 			}
 		},
 	});
-	const handler = new AnnouncementHandler(localUpstream, directory, new SystemClock(), log);
+	const clock = new SystemClock();
+	const handler = new AnnouncementHandler({
+		localUpstream, directory, confirmation: new UpstreamConfirmation(upstreamCheck, clock, log), clock, log,
+	});
 	void handler.run();
 	const running = directory.run(controller.signal);
 	try {
@@ -77,6 +84,114 @@
 	}, 'write the absence');
 }
 
+/** An upstream that answers questions as the test sets it. */
+class FakeCheck implements UpstreamCheck {
+	condition: UpstreamCondition = upstreamConditions.ready;
+	count = 0;
+
+	async check(): Promise<UpstreamCondition> {
+		this.count++;
+		return this.condition;
+	}
+}
+
+/** Lets a process of the node write that the upstream is ready. */
+async function writeReadyUpstream(store: FakeRowStore): Promise<void> {
+	await withProcess(store, async handler => {
+		await handler.handleAnnouncement(buildAnnouncement('ready', 1));
+		await waitUntil(() => store.findValue('members', 'n')?.includes('"upstreamState":1') ?? false, 'write the upstream');
+	});
+}
+
+/** Long enough for the consequences of an answer. */
+const settleMs = 50;
+
+describe('an upstream that an earlier process of the node recorded as ready', () => {
+	it('is used without a heartbeat if it says that it is ready', async t => {
+		const store = new FakeRowStore();
+		const check = new FakeCheck();
+		await writeReadyUpstream(store);
+		await withProcess(store, async (_handler, localUpstream) => {
+			await waitUntil(() => localUpstream.status.value.state === 'ready', 'use the upstream');
+			t.is(check.count, 1);
+		}, undefined, check);
+	});
+
+	// Guards against a leave that was acknowledged, and lost with the process that knew of it.
+	it('is not used if it says that it leaves, also when a late heartbeat arrives; its row says so', async t => {
+		const store = new FakeRowStore();
+		const check = new FakeCheck();
+		await writeReadyUpstream(store);
+		check.condition = upstreamConditions.notReady;
+		await withProcess(store, async (handler, localUpstream) => {
+			await waitForAbsence(store);
+			await handler.handleAnnouncement(buildAnnouncement('ready', 2));
+			await sleep(settleMs);
+			t.is(localUpstream.status.value.state, 'absent');
+		}, undefined, check);
+	});
+
+	it('is used by a later heartbeat when it no longer says that it fails', async t => {
+		const store = new FakeRowStore();
+		const check = new FakeCheck();
+		await writeReadyUpstream(store);
+		check.condition = upstreamConditions.notReady;
+		await withProcess(store, async (handler, localUpstream) => {
+			await waitForAbsence(store);
+			check.condition = upstreamConditions.ready;
+			await handler.handleAnnouncement(buildAnnouncement('ready', 2));
+			await waitUntil(() => localUpstream.status.value.state === 'ready', 'use the upstream');
+			t.pass();
+		}, undefined, check);
+	});
+
+	it('is used by its next heartbeat if it does not answer', async t => {
+		const store = new FakeRowStore();
+		const check = new FakeCheck();
+		await writeReadyUpstream(store);
+		check.condition = upstreamConditions.unknown;
+		await withProcess(store, async (handler, localUpstream) => {
+			await sleep(settleMs);
+			t.is(localUpstream.status.value.state, 'absent');
+			await handler.handleAnnouncement(buildAnnouncement('ready', 2));
+			await waitUntil(() => localUpstream.status.value.state === 'ready', 'use the upstream');
+		}, undefined, check);
+	});
+
+	it('is not used if it leaves before it has answered', async t => {
+		for (const leave of [
+			async (handler: AnnouncementHandler) => handler.handleEnd('i', undefined),
+			async (handler: AnnouncementHandler) => handler.handleAnnouncement(buildAnnouncement('draining', 2)),
+		]) {
+			const store = new FakeRowStore();
+			await writeReadyUpstream(store);
+			let answer: (condition: UpstreamCondition) => void;
+			const check: UpstreamCheck = {
+				check: async () => new Promise(resolve => {
+					answer = resolve;
+				}),
+			};
+			await withProcess(store, async (handler, localUpstream) => {
+				await leave(handler);
+				answer(upstreamConditions.ready);
+				await sleep(settleMs);
+				t.is(localUpstream.status.value.state, 'draining');
+				t.true(store.findValue('members', 'n')!.includes('"hasLeft":true'));
+			}, undefined, check);
+		}
+	});
+
+	it('needs no answer if it started after this process of the node', async t => {
+		const check = new FakeCheck();
+		check.condition = upstreamConditions.notReady;
+		await withProcess(new FakeRowStore(), async (handler, localUpstream) => {
+			await handler.handleAnnouncement(buildAnnouncement('ready', 1, Date.now() + 60_000));
+			t.is(localUpstream.status.value.state, 'ready');
+			t.is(check.count, 0);
+		}, undefined, check);
+	});
+});
+
 describe('announcements to a node', () => {
 	it('do not make an upstream ready that left and then fell silent, after a restart of the node', async t => {
 		const store = new FakeRowStore();
--- /dev/null
+++ b/packages/node/src/upstream-confirmation.ts
@@ -0,0 +1,73 @@
+/** Decides when a new process of a node may use an upstream that an earlier process may have known. */
+import {type Clock} from '@ebonylead/base/base.js';
+import {type Logger} from '@ebonylead/base/logs.js';
+import {type AnnouncementStamp} from '@ebonylead/upstreams/announcement-order.js';
+import {upstreamConditions, type UpstreamCheck, type UpstreamCondition} from '@ebonylead/upstreams/upstream-check.js';
+import {buildIncarnationKey} from '@ebonylead/upstreams/upstream-notice.js';
+import {type RecordedUpstream} from './member-row.js';
+
+/** By how much the clocks of a node and its upstream may differ when their starts are compared, in milliseconds. */
+const clockToleranceMs = 5000;
+
+/**
+ * Asks upstream processes whether they leave.
+ *
+ * An earlier process of this node may have acknowledged that an upstream leaves,
+ * and ended before the store had it. Neither the row of the node nor a heartbeat
+ * that arrives late shows that, but the upstream itself does.
+ */
+export class UpstreamConfirmation {
+	readonly #check: UpstreamCheck | undefined;
+	readonly #clock: Clock;
+	readonly #log: Logger;
+	readonly #startedAt: number;
+	readonly #confirmed = new Set<string>();
+
+	/** Questions that wait for their answer, by upstream process. */
+	readonly #pending = new Map<string, Promise<UpstreamCondition>>();
+
+	/** @param check Undefined where upstreams can't be asked; then each counts as confirmed. */
+	constructor(check: UpstreamCheck | undefined, clock: Clock, log: Logger) {
+		this.#check = check;
+		this.#clock = clock;
+		this.#log = log;
+		this.#startedAt = clock.wallTime();
+	}
+
+	/** Returns whether an upstream process must be asked before it is used that an earlier process of this node recorded. */
+	isNeededForRecorded({instance, startedAt}: AnnouncementStamp): boolean {
+		return this.#check !== undefined && instance !== '' && !this.#confirmed.has(buildIncarnationKey(instance, startedAt));
+	}
+
+	/** Returns whether an upstream process must be asked before it is used that announces itself. One that started after this process is known to no earlier one. */
+	isNeeded(stamp: AnnouncementStamp): boolean {
+		const mayBeKnown = stamp.startedAt === undefined || stamp.startedAt < this.#startedAt + clockToleranceMs;
+		return mayBeKnown && this.isNeededForRecorded(stamp);
+	}
+
+	/** Asks an upstream process; a question that is already pending is shared. */
+	async ask({announcement, stamp}: RecordedUpstream): Promise<UpstreamCondition> {
+		const key = buildIncarnationKey(stamp.instance, stamp.startedAt);
+		const pending = this.#pending.get(key);
+		if (pending !== undefined) {
+			return pending;
+		}
+
+		const askedAt = this.#clock.now();
+		const question = this.#check!.check(announcement);
+		this.#pending.set(key, question);
+		const condition = await question;
+		this.#pending.delete(key);
+		if (condition === upstreamConditions.ready) {
+			this.#confirmed.add(key);
+		}
+
+		this.#log.info({stamp, condition, duration: Math.round(this.#clock.now() - askedAt)}, 'Asked the upstream whether it leaves');
+		return condition;
+	}
+
+	/** Records that an upstream process may be used without being asked. */
+	recordConfirmed({instance, startedAt}: AnnouncementStamp): void {
+		this.#confirmed.add(buildIncarnationKey(instance, startedAt));
+	}
+}
--- a/packages/rules/src/rule-source.ts
+++ b/packages/rules/src/rule-source.ts
@@ -21,6 +21,9 @@
 export type AcceptedRules = {
 	readonly snapshot: Snapshot;
 	readonly limits: CallerLimits | undefined;
+
+	/** Paths at which upstreams tell whether they are ready, by service; undefined if none are known. */
+	readonly healthPaths?: Readonly<Record<string, string>>;
 };
 
 /** Handles a version that a source read, with its route table if the source has built it. */
--- a/packages/rules/src/rules-difference.ts
+++ b/packages/rules/src/rules-difference.ts
@@ -1,4 +1,5 @@
 /** Differences between two accepted versions, for nodes that follow another node. Cost and size grow with the change where unchanged rules are the same objects. */
+import {isDeepStrictEqual} from 'node:util';
 import {Left, Right, type Either} from 'purify-ts';
 import {hashText} from '@ebonylead/base/hash.js';
 import {
@@ -16,6 +17,9 @@
 	readonly checksum: number;
 	readonly limits: CallerLimits | undefined;
 
+	/** Health paths of the later version; undefined if they are those of the earlier one. */
+	readonly healthPaths?: Readonly<Record<string, string>>;
+
 	/** Keys of the rules that were removed. */
 	readonly removed: readonly string[];
 
@@ -31,7 +35,8 @@
 
 /**
  * Computes a checksum of an accepted version. It does not depend on the order of the rules, nor
- * on the versions in which they were last changed, as these differ between nodes that skipped different versions.
+ * on the versions in which they were last changed, as these differ between nodes that skipped different versions,
+ * nor on the health paths, which earlier versions of the program do not know.
  */
 export function computeChecksum({snapshot, limits}: AcceptedRules): number {
 	let sum = hashText(JSON.stringify([snapshot.version, snapshot.rules.length, limits && formatLimits(limits)]));
@@ -59,6 +64,7 @@
 		toVersion: to.snapshot.version,
 		checksum: computeChecksum(to),
 		limits: to.limits,
+		healthPaths: isDeepStrictEqual(from.healthPaths, to.healthPaths) ? undefined : to.healthPaths,
 		removed: [...before.keys()].filter(key => !after.has(key)),
 		changed: to.snapshot.rules.filter(rule => {
 			const earlier = before.get(getRuleKey(rule));
@@ -74,7 +80,7 @@
  * @returns The later version, or the reason why the difference does not produce it.
  */
 export function applyDifference(from: AcceptedRules, difference: RulesDifference): Either<string, AcceptedRules> {
-	const {fromVersion, toVersion, removed, changed, limits, checksum} = difference;
+	const {fromVersion, toVersion, removed, changed, limits, healthPaths = from.healthPaths, checksum} = difference;
 	const rulesByKey = buildRulesByKey(from);
 	if (rulesByKey === undefined || from.snapshot.version !== fromVersion) {
 		return Left(`the difference starts from version ${fromVersion}, not from version ${from.snapshot.version}`);
@@ -89,7 +95,8 @@
 	}
 
 	const organisations = difference.organisations && applyOrganisationChanges(from.snapshot.organisations, difference.organisations);
-	const rules = {snapshot: {version: toVersion, rules: [...rulesByKey.values()], ...(organisations === undefined ? {} : {organisations})}, limits};
+	const snapshot = {version: toVersion, rules: [...rulesByKey.values()], ...(organisations === undefined ? {} : {organisations})};
+	const rules = {snapshot, limits, ...(healthPaths === undefined ? {} : {healthPaths})};
 	return computeChecksum(rules) === checksum
 		? Right(rules)
 		: Left(`the difference from version ${fromVersion} to version ${toVersion} gives another checksum`);
--- a/packages/rules/src/test/rules-difference_test.ts
+++ b/packages/rules/src/test/rules-difference_test.ts
@@ -52,6 +52,15 @@
 		}));
 	});
 
+	it('carries the health paths if they changed, and keeps them if not', t => {
+		const from = {...buildRules(1, [1]), healthPaths: {s: '/health'}};
+		const same = computeDifference(from, {...buildRules(2, [1]), healthPaths: {s: '/health'}})!;
+		t.is(same.healthPaths, undefined);
+		t.deepEqual(applyDifference(from, same).unsafeCoerce().healthPaths, {s: '/health'});
+		const changed = computeDifference(from, {...buildRules(2, [1]), healthPaths: {s: '/up'}})!;
+		t.deepEqual(applyDifference(from, changed).unsafeCoerce().healthPaths, {s: '/up'});
+	});
+
 	it('contains only what changed, and keeps the objects of unchanged rules', t => {
 		const from = buildRules(1, [1, 1, 1]);
 		const to = buildRules(2, [1, 2, 1]);
