Record the leave in the row of a node also after a late heartbeat

Cause: AnnouncementHandler.restore returned before it recorded the leave if an announcement with a higher sequence number had come first; and recordLeft did not take a process out of use that was in use already.

Evidence: the new test ends with the upstream 'ready' on the code before, 'draining' now. No run with real processes showed it.

--- a/packages/node/src/announcement-handler.ts
+++ b/packages/node/src/announcement-handler.ts
@@ -88,14 +88,15 @@
 	restore({announcement, stamp, hasLeft = false}: RecordedUpstream, state: UpstreamState): void {
 		// Its end may have been acknowledged before the row was read.
 		const hasEnded = this.#order.hasEnded(stamp);
-		if (!hasEnded && !this.#order.accept(stamp)) {
-			return;
-		}
-
+		// A heartbeat of the process may have been taken before the row was read.
 		if (hasLeft || hasEnded) {
 			this.#localUpstream.recordLeft(buildIncarnationKey(stamp.instance, stamp.startedAt));
 		}
 
+		if (!hasEnded && !this.#order.accept(stamp)) {
+			return;
+		}
+
 		if (state === UpstreamState.ABSENT || (hasEnded && this.#newest !== undefined)) {
 			return;
 		}
--- a/packages/node/src/test/announcement-handler_test.ts
+++ b/packages/node/src/test/announcement-handler_test.ts
@@ -243,6 +243,23 @@
 		});
 	});
 
+	// Guards against a leave that the row tells of, and that was left out as a late heartbeat had come first.
+	it('do not keep an upstream ready that has left, if a late one arrives before the row of the node is read', async t => {
+		const store = new FakeRowStore();
+		await withProcess(store, async handler => {
+			await handler.handleAnnouncement(buildAnnouncement('ready', 1));
+			await handler.handleEnd('i', 1);
+			await waitUntil(() => store.findValue('members', 'n')?.includes('"hasLeft":true') ?? false, 'write the leave');
+		});
+		store.isDown = true;
+		await withProcess(store, async (_handler, localUpstream) => {
+			t.is(localUpstream.status.value.state, 'draining');
+		}, async handler => {
+			await handler.handleAnnouncement(buildAnnouncement('ready', 2));
+			store.isDown = false;
+		});
+	});
+
 	it('make the next process of an upstream ready that started after the end of the one before, although neither the row nor the end told when that had started', async t => {
 		await withProcess(new FakeRowStore(), async (handler, localUpstream) => {
 			await handler.handleEnd('i', undefined);
--- a/packages/upstreams/src/local-upstream.ts
+++ b/packages/upstreams/src/local-upstream.ts
@@ -179,7 +179,7 @@
 
 	/** Records that a process of the upstream has left, as an earlier process of this node knew. */
 	recordLeft(incarnation: string): void {
-		this.#addLeft(incarnation);
+		this.#handleLeave(incarnation, 'the record of this node');
 	}
 
 	/** Records what a response of the upstream says of it. */
