Compare the start time when an upstream process says that it ends

What callers would see (found by reading in the review): the late deregister message of an upstream takes the next process with the same id out of use, for good. PROTOCOL.md: "An upstream may start again under the id that it had."

Cause: AnnouncementHandler.handleEnd compared only the id with the process in use.

Evidence: the new test ends with the next process 'draining' on the code before, 'ready' now.

--- a/packages/node/src/announcement-handler.ts
+++ b/packages/node/src/announcement-handler.ts
@@ -117,18 +117,20 @@
 	/** Handles the message of an upstream process that it has ended or is about to end. */
 	async handleEnd(instance: string, startedAt: number | undefined): Promise<void> {
 		this.#order.recordEnd(instance, startedAt, this.#clock.wallTime());
-		if (this.#newest?.stamp.instance !== instance) {
-			this.#log.info({instance, known: this.#newest?.stamp.instance}, 'Ignored the end of an upstream process that is not in use');
+		const known = this.#newest?.stamp;
+		const isOtherStart = startedAt !== undefined && known?.startedAt !== undefined && startedAt !== known.startedAt;
+		if (known?.instance !== instance || isOtherStart) {
+			this.#log.info({instance, startedAt, known}, 'Ignored the end of an upstream process that is not in use');
 			return;
 		}
 
 		if (this.#localUpstream.instance !== instance) {
 			// It was not confirmed yet; its row must say that it leaves all the same.
-			this.#localUpstream.applyAnnouncement({...this.#newest.announcement, state: 'draining'});
+			this.#localUpstream.applyAnnouncement({...this.#newest!.announcement, state: 'draining'});
 		}
 
 		this.#localUpstream.drain();
-		await this.#recordLeave(this.#newest.stamp);
+		await this.#recordLeave(known);
 	}
 
 	/** Writes each change of the upstream's state to this node's member record. */
--- a/packages/node/src/test/announcement-handler_test.ts
+++ b/packages/node/src/test/announcement-handler_test.ts
@@ -260,6 +260,18 @@
 		});
 	});
 
+	// Guards against a process that is taken out of use by the late end of the one before, which had the same identity.
+	it('of the end of an earlier process do not end the next one with the same identity', async t => {
+		await withProcess(new FakeRowStore(), async (handler, localUpstream) => {
+			await handler.handleAnnouncement(buildAnnouncement('ready', 1, 2));
+			await handler.handleEnd('i', 1);
+			t.is(localUpstream.status.value.state, 'ready');
+			await handler.handleAnnouncement(buildAnnouncement('ready', 2, 2));
+			await handler.handleEnd('i', 2);
+			t.is(localUpstream.status.value.state, 'draining');
+		});
+	});
+
 	it('make the next process of an upstream ready that started after the end of the one before, although neither the row nor the end told when that had started', async t => {
 		await withProcess(new FakeRowStore(), async (handler, localUpstream) => {
 			await handler.handleEnd('i', undefined);
