Act on each leave of the process in use, whatever was announced before

Cause: AnnouncementOrder took an announcement without a start time, with a higher sequence number, for one of a new process and those with a start time for ones of a process that had ended. And an announcement that is out of date was acknowledged without a look at what it says.

Now an announcement without a start time is not accepted where others with the same identity have one.

Evidence: three new tests fail on the code before, and pass now.

--- a/packages/node/src/announcement-handler.ts
+++ b/packages/node/src/announcement-handler.ts
@@ -63,6 +63,12 @@
 		const known = this.#order.newest;
 		if (!this.#order.accept(stamp)) {
 			this.#log.info({stamp, known}, 'Ignored an out-of-date announcement');
+			// A leave is final, whatever came before it.
+			if (announcement.state === 'draining' && isSameProcess(stamp, this.#newest?.stamp) && this.#localUpstream.status.value.state === 'ready') {
+				this.#localUpstream.drain();
+				await this.#recordLeave(stamp);
+			}
+
 			return;
 		}
 
@@ -149,8 +155,7 @@
 		const asked = this.#newest!;
 		const condition = await this.#confirmation.ask(asked);
 		const {announcement, stamp} = this.#newest!;
-		const isAskedProcess = stamp.instance === asked.stamp.instance && stamp.startedAt === asked.stamp.startedAt;
-		if (!isAskedProcess || announcement.state !== 'ready' || this.#order.hasEnded(stamp)) {
+		if (!isSameProcess(stamp, asked.stamp) || announcement.state !== 'ready' || this.#order.hasEnded(stamp)) {
 			return;
 		}
 
@@ -174,3 +179,7 @@
 		return this.#directory.update(version === undefined ? changes : {...changes, upstreamVersion: version}, timeout, this.#newest && {...this.#newest, hasLeft});
 	}
 }
+
+function isSameProcess(stamp: AnnouncementStamp, other: AnnouncementStamp | undefined): boolean {
+	return stamp.instance === other?.instance && stamp.startedAt === other.startedAt;
+}
--- a/packages/node/src/test/announcement-handler_test.ts
+++ b/packages/node/src/test/announcement-handler_test.ts
@@ -260,6 +260,26 @@
 		});
 	});
 
+	// Guards against the heartbeat of another writer, after which the upstream's own ones were ignored but acknowledged.
+	it('of another writer, without the start time of the process, do not outdate its leave', async t => {
+		await withProcess(new FakeRowStore(), async (handler, localUpstream) => {
+			await handler.handleAnnouncement(buildAnnouncement('ready', 1));
+			const {announcement, stamp} = buildAnnouncement('ready', 9);
+			await handler.handleAnnouncement({announcement: {...announcement, startedAt: undefined}, stamp: {...stamp, startedAt: undefined}});
+			t.is(localUpstream.status.value.state, 'ready');
+			await handler.handleAnnouncement(buildAnnouncement('draining', 2));
+			t.is(localUpstream.status.value.state, 'draining');
+		});
+	});
+
+	it('of a leave count also out of order, as a leave is final', async t => {
+		await withProcess(new FakeRowStore(), async (handler, localUpstream) => {
+			await handler.handleAnnouncement(buildAnnouncement('ready', 3));
+			await handler.handleAnnouncement(buildAnnouncement('draining', 2));
+			t.is(localUpstream.status.value.state, 'draining');
+		});
+	});
+
 	// Guards against a process that is taken out of use by the late end of the one before, which had the same identity.
 	it('of the end of an earlier process do not end the next one with the same identity', async t => {
 		await withProcess(new FakeRowStore(), async (handler, localUpstream) => {
--- a/packages/upstreams/src/announcement-order.ts
+++ b/packages/upstreams/src/announcement-order.ts
@@ -20,7 +20,9 @@
  *
  * An announcement may be delayed and arrive after its sender has ended and
  * another process has started at the same address. A process may reuse the
- * identity of its predecessor; then the start time distinguishes the two.
+ * identity of its predecessor; then the start time distinguishes the two. Where
+ * a process tells its start time, an announcement without one is of another
+ * writer, and not accepted.
  */
 export class AnnouncementOrder {
 	#newest: AnnouncementStamp | undefined;
@@ -97,5 +99,9 @@
 		return stamp.startedAt > newest.startedAt;
 	}
 
+	if (stamp.instance === newest.instance && stamp.startedAt !== newest.startedAt) {
+		return newest.startedAt === undefined;
+	}
+
 	return stamp.instance !== newest.instance || stamp.sequence > newest.sequence;
 }
--- a/packages/upstreams/src/test/announcement-order_test.ts
+++ b/packages/upstreams/src/test/announcement-order_test.ts
@@ -37,6 +37,17 @@
 			t.true(order.accept({...first, startedAt: 2000, sequence: 2}));
 		});
 
+		it('does not accept one without a start time if others with the identity have one, in either order', t => {
+			const order = new AnnouncementOrder();
+			order.accept(first);
+			t.false(order.accept({...first, startedAt: undefined, sequence: 9}));
+			t.true(order.accept({...first, sequence: 5}));
+			const other = new AnnouncementOrder();
+			other.accept({...first, startedAt: undefined, sequence: 9});
+			t.true(other.accept({...first, sequence: 5}));
+			t.false(other.accept({...first, startedAt: undefined, sequence: 10}));
+		});
+
 		it('accepts the other one if no start time is announced', t => {
 			const order = new AnnouncementOrder();
 			order.accept({...first, startedAt: undefined});
