Reject a response whose head begins with that of another one

Cause: the parser joins the two heads, as the status line of the second stands in the reason phrase or in the last header of the first.

--- a/packages/upstreams/src/forward.ts
+++ b/packages/upstreams/src/forward.ts
@@ -5,6 +5,7 @@
 import {BodyTransfer} from './body-transfer.js';
 import {type Cancellation} from './cancellation.js';
 import {type RequestBody} from './request-body.js';
+import {isMerged} from './response-head.js';
 import {SilenceTimer, type SilenceOptions} from './silence-timer.js';
 import {type ResponseValidation} from './upstream-protocol.js';
 
@@ -168,8 +169,14 @@
 		this.#startSilenceTimerAfterBody();
 	}
 
-	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: ResponseHeaders): void {
+	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: ResponseHeaders, reasonPhrase?: string): void {
 		this.#restartSilenceTimer();
+		if (isMerged(reasonPhrase, headers)) {
+			this.#validation = {kind: 'invalid', reason: 'the answer begins with another one that broke off', isForeign: true};
+			controller.abort(new Error(this.#validation.reason));
+			return;
+		}
+
 		if (status < firstFinalStatus) {
 			this.#interimCount++;
 			this.#sendRest();
