Keep statuses that promise "not run" from callers of requests that ran

The status reaches the caller, who takes it for a promise that nothing ran and sends the request again.

Cause: every signed response of an upstream was forwarded unchanged.

Now such a response ends the call as one that may have run: 502 without a signature. Responses to idempotent requests, and statuses that promise nothing, are forwarded as before.

--- a/packages/callers/src/call.ts
+++ b/packages/callers/src/call.ts
@@ -6,7 +6,7 @@
 import {CallQuarantine} from '@ebonylead/upstreams/call-quarantine.js';
 import {Cancellation} from '@ebonylead/upstreams/cancellation.js';
 import {isClientConnected} from '@ebonylead/upstreams/client-presence.js';
-import {copyRequestHeaders, type ResponseHeaders} from '@ebonylead/upstreams/forward.js';
+import {copyRequestHeaders} from '@ebonylead/upstreams/forward.js';
 import {LargeBody} from '@ebonylead/upstreams/large-body.js';
 import {discardBody, type RequestBody} from '@ebonylead/upstreams/request-body.js';
 import {readPositiveInteger} from '@ebonylead/upstreams/request-headers.js';
@@ -26,9 +26,9 @@
 import {CallRetries} from './call-retries.js';
 import {buildBodyRefusal, findCancelStatus, type CallerBodies} from './caller-bodies.js';
 import {type CallerListenerDependencies} from './callers.js';
+import {isForwardableResponse} from './forwardable-response.js';
 import {publicAccess, type Access} from './organisation-check.js';
 import {type RequestTarget} from './request-target.js';
-import {isRetryableFailure} from './retry-limits.js';
 
 /** Number of crashed upstreams after which a call that may have been the cause is not retried. */
 const maxCrashes = 2;
@@ -273,7 +273,7 @@
 			response: this.#response,
 			cancellation: this.#cancellation,
 			timeLeft: this.#timeLeft,
-			isForwardable: (status, headers) => this.#isForwardable(route, status, headers),
+			isForwardable: (status, headers) => isForwardableResponse({status, headers}, route, this.#dependencies.protocol, {possibleRuns: this.#counts.possibleRuns, timeLeft: this.#timeLeft}),
 			buildExtraHeaders: () => ({[meshHeaders.version]: String(this.#version)}),
 			onForward: () => {
 				this.#inFlight.cancelOthers(attempt);
@@ -301,15 +301,6 @@
 		return route.rule.idempotent ? 'retry' : this.#lastRefusal;
 	}
 
-	/** Returns whether a response is forwarded to the caller; refusals by sidecars and failures that may be retried are not. */
-	#isForwardable(route: Route, status: number, headers: ResponseHeaders): boolean {
-		if (headers[meshHeaders.outcome] !== undefined) {
-			return false;
-		}
-
-		return !isRetryableFailure(route, status, {possibleRuns: this.#counts.possibleRuns, timeLeft: this.#timeLeft});
-	}
-
 	#handleResult(route: Route, attempt: Attempt, result: AttemptResult): NextStep {
 		const {member} = attempt;
 		switch (result.kind) {
--- a/packages/callers/src/caller-protocol.ts
+++ b/packages/callers/src/caller-protocol.ts
@@ -25,6 +25,9 @@
 	/** Returns the name of the caller, for fairness between callers. */
 	readCaller(request: IncomingMessage): string;
 
+	/** Returns whether callers take a response with a status for a promise that their request has not run, whoever gave it. */
+	isNotRunStatus(status: number): boolean;
+
 	/** Sends a refusal in place of an upstream's response. */
 	sendRefusal(response: ServerResponse, refusal: Refusal): void;
 };
@@ -49,6 +52,11 @@
 		return readHeader(request, meshHeaders.caller) ?? request.socket.remoteAddress ?? '';
 	}
 
+	/** Callers go by the header `outcome`, not by statuses. */
+	isNotRunStatus(): boolean {
+		return false;
+	}
+
 	sendRefusal(response: ServerResponse, refusal: Refusal): void {
 		sendRefusal(response, refusal);
 	}
