Play faults in the responses of upstreams in the soak

What callers saw (the users' own runs with real processes, no case): 541, 544 and 1,891 non-idempotent requests that were refused with a promise although they ran, 35, 29 and 133 that ran twice, on three deployments.

One copy moves all later answers of its connection by one for as long as the upstream refuses, so that it makes a series of false refusals.

Evidence: the soak had no faults in responses, and the users' bench copies no refusals. What doses the users' upstreams had is not known.

--- a/packages/bench/src/soak-ledger.ts
+++ b/packages/bench/src/soak-ledger.ts
@@ -95,6 +95,9 @@
 		sent: 0, answered: 0, refused: 0, failed: 0, closed: 0, left: 0,
 	};
 
+	/** Number of faults that were put into responses, by what was done. */
+	readonly injections = new Map<string, number>();
+
 	/** Number of requests that ended with a failure, a closed connection or a refusal, by its description without numbers. */
 	readonly failures = new Map<string, number>();
 	readonly #now: () => number;
@@ -287,6 +290,11 @@
 		}
 	}
 
+	/** Records that a fault was put into a response. */
+	recordInjection(what: string): void {
+		this.injections.set(what, (this.injections.get(what) ?? 0) + 1);
+	}
+
 	/** Records that a process that was told to stop did not stop cleanly. */
 	recordStop(process: string, detail: string): void {
 		if (!this.#isExcused(this.#faults, this.#now())) {
--- a/packages/bench/src/soak-plan.ts
+++ b/packages/bench/src/soak-plan.ts
@@ -14,6 +14,15 @@
 /** Faults that go with load: a request that crashes upstreams, and a node that gets little processor time. They may end requests. */
 const loadFaults = ['crashing-request', 'slow-node'] as const;
 
+/** Faults in the responses of upstreams: refusals, late second copies (whole or broken off), own statuses that promise that nothing ran, and losses. They may end requests. */
+export const responseFaultKinds = ['upstreams-refuse', 'late-copies', 'broken-copies', 'own-refusals', 'lost-responses'] as const;
+
+/** One of `responseFaultKinds`. */
+export type ResponseFaultKind = typeof responseFaultKinds[number];
+
+/** How upstreams end without having said before that they drain. It must not end a request. */
+const endKinds = ['deregister-first'] as const;
+
 /** What callers do. It must not end requests of others. */
 const callerKinds = ['impatient-clients'] as const;
 
@@ -24,7 +33,14 @@
 
 /** Kind of a disturbance. */
 export type SoakEventKind
-	= | typeof plannedKinds[number] | typeof upstreamKinds[number] | typeof processFaults[number] | typeof loadFaults[number] | typeof callerKinds[number] | typeof storeFaults[number];
+	= | ResponseFaultKind
+		| typeof endKinds[number]
+		| typeof plannedKinds[number]
+		| typeof upstreamKinds[number]
+		| typeof processFaults[number]
+		| typeof loadFaults[number]
+		| typeof callerKinds[number]
+		| typeof storeFaults[number];
 
 /** A disturbance. */
 export type SoakEvent = {
@@ -83,6 +99,15 @@
 /** Offset of the seed from which load faults are drawn, so that they don't change the other events of a seed. */
 const loadSeedOffset = 2_000_003;
 
+/** Bounds of the time between two events of responses and ends, and the duration of such a fault. */
+const minResponseFaultGapMs = 300;
+const maxResponseFaultGapMs = 3000;
+const minResponseFaultMs = 1000;
+const maxResponseFaultMs = 6000;
+
+/** Offset of the seed from which these are drawn, so that they don't change the other events of a seed. */
+const responseSeedOffset = 3_000_003;
+
 /** Share of the kinds of faults that a seed draws. */
 const faultShare = 0.4;
 
@@ -91,7 +116,7 @@
 
 /** Plans the events of a soak, in the order of their times. */
 export function buildSoakPlan(options: SoakPlanOptions): SoakEvent[] {
-	return [...buildDisturbances(options), ...buildUpstreamEvents(options), ...buildLoadFaults(options)].toSorted((left, right) => left.at - right.at);
+	return [...buildDisturbances(options), ...buildUpstreamEvents(options), ...buildLoadFaults(options), ...buildResponseFaults(options)].toSorted((left, right) => left.at - right.at);
 }
 
 function createRandom(seed: number): SeededRandom {
@@ -120,6 +145,26 @@
 	}
 }
 
+/** Plans faults in responses, and ends of upstreams. */
+function buildResponseFaults({seed, duration, vmCount, hasFaults}: SoakPlanOptions): SoakEvent[] {
+	const random = createRandom(seed + responseSeedOffset);
+	const events: SoakEvent[] = [];
+	let at = 0;
+	for (;;) {
+		at += chooseBetween(random, minResponseFaultGapMs, maxResponseFaultGapMs);
+		if (!hasFaults || at > duration - quietEndMs) {
+			return events;
+		}
+
+		events.push({
+			at,
+			kind: chooseOne<SoakEventKind>(random, [...responseFaultKinds, ...endKinds]),
+			vm: chooseInteger(random, vmCount),
+			duration: chooseBetween(random, minResponseFaultMs, maxResponseFaultMs),
+		});
+	}
+}
+
 /** Plans load faults, and what callers do, of the kinds that the seed draws. */
 function buildLoadFaults({seed, duration, vmCount, hasFaults}: SoakPlanOptions): SoakEvent[] {
 	const random = createRandom(seed + loadSeedOffset);
@@ -164,12 +209,12 @@
 
 /** Returns whether a disturbance may end requests. */
 export function isProcessFault(kind: SoakEventKind): boolean {
-	return ([...processFaults, ...loadFaults] as readonly string[]).includes(kind);
+	return ([...processFaults, ...loadFaults, ...responseFaultKinds] as readonly string[]).includes(kind);
 }
 
 /** Returns whether a disturbance excuses nothing: planned work, what upstreams ask for, and callers that leave. */
 export function isPlanned(kind: SoakEventKind): boolean {
-	return ([...plannedKinds, ...upstreamKinds, ...callerKinds] as readonly string[]).includes(kind);
+	return ([...plannedKinds, ...upstreamKinds, ...callerKinds, ...endKinds] as readonly string[]).includes(kind);
 }
 
 /** Plans one event, or a series of restarts in the order of the VMs, in which the same VM may come twice. */
