Keep an upstream out of use whose late leave arrives while it is asked

Test: announcement-handler_test.ts, "of a leave out of order keep a process out of use that is being asked". recordLeft takes the source for the log.

--- a/packages/node/src/announcement-handler.ts
+++ b/packages/node/src/announcement-handler.ts
@@ -63,12 +63,7 @@
 		const known = this.#order.newest;
 		if (!this.#order.accept(stamp)) {
 			this.#log.info({stamp, known}, 'Ignored an out-of-date announcement');
-			// A leave is final, whatever came before it.
-			if (announcement.state === 'draining' && isSameProcess(stamp, this.#newest?.stamp) && this.#localUpstream.status.value.state === 'ready') {
-				this.#localUpstream.drain();
-				await this.#recordLeave(stamp);
-			}
-
+			await this.#handleLateLeave({announcement, stamp});
 			return;
 		}
 
@@ -96,7 +91,7 @@
 		const hasEnded = this.#order.hasEnded(stamp);
 		// A heartbeat of the process may have been taken before the row was read.
 		if (hasLeft || hasEnded) {
-			this.#localUpstream.recordLeft(buildIncarnationKey(stamp.instance, stamp.startedAt));
+			this.#localUpstream.recordLeft(buildIncarnationKey(stamp.instance, stamp.startedAt), 'the record of this node');
 		}
 
 		if (!hasEnded && !this.#order.accept(stamp)) {
@@ -167,6 +162,15 @@
 		}
 	}
 
+	/** Acts on the leave of the newest process although it is out of order: a leave is final. */
+	async #handleLateLeave({announcement, stamp}: StampedAnnouncement): Promise<void> {
+		const key = buildIncarnationKey(stamp.instance, stamp.startedAt);
+		if (announcement.state === 'draining' && isSameProcess(stamp, this.#newest?.stamp) && !this.#localUpstream.hasProcessLeft(key)) {
+			this.#localUpstream.recordLeft(key, 'an announcement');
+			await this.#recordLeave(stamp);
+		}
+	}
+
 	/** Writes to the row of this node that the upstream leaves, if the store answers in time. */
 	async #recordLeave(stamp: AnnouncementStamp): Promise<void> {
 		const isWritten = await this.#updateMember(this.#localUpstream.status.value, leaveWriteTimeoutMs);
--- a/packages/node/src/test/announcement-handler_test.ts
+++ b/packages/node/src/test/announcement-handler_test.ts
@@ -280,6 +280,22 @@
 		});
 	});
 
+	it('of a leave out of order keep a process out of use that is being asked', async t => {
+		let answer: (condition: UpstreamCondition) => void;
+		const check: UpstreamCheck = {
+			check: async () => new Promise(resolve => {
+				answer = resolve;
+			}),
+		};
+		await withProcess(new FakeRowStore(), async (handler, localUpstream) => {
+			await handler.handleAnnouncement(buildAnnouncement('ready', 3));
+			await handler.handleAnnouncement(buildAnnouncement('draining', 2));
+			answer(upstreamConditions.ready);
+			await sleep(settleMs);
+			t.is(localUpstream.status.value.state, 'draining');
+		}, undefined, check);
+	});
+
 	// Guards against a process that is taken out of use by the late end of the one before, which had the same identity.
 	it('of the end of an earlier process do not end the next one with the same identity', async t => {
 		await withProcess(new FakeRowStore(), async (handler, localUpstream) => {
--- a/packages/upstreams/src/local-upstream.ts
+++ b/packages/upstreams/src/local-upstream.ts
@@ -177,9 +177,9 @@
 		return this.#left.has(incarnation);
 	}
 
-	/** Records that a process of the upstream has left, as an earlier process of this node knew. */
-	recordLeft(incarnation: string): void {
-		this.#handleLeave(incarnation, 'the record of this node');
+	/** Records that a process of the upstream leaves or has left; the source is for the log. */
+	recordLeft(incarnation: string, source: string): void {
+		this.#handleLeave(incarnation, source);
 	}
 
 	/** Records what a response of the upstream says of it. */
