Count the questions to upstreams whether they leave

ebonylead_upstream_checks_total by condition tells operators how often a new process of a node asked its upstream, and how many it kept out of use. No change of decisions.

--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -47,8 +47,8 @@
 import {expiredFreshness, RulesFeed} from './rules-feed.js';
 import {RulesHistory} from './rules-history.js';
 import {RulesSync} from './rules-sync.js';
-import {AnnouncementHandler, upstreamStates} from './announcement-handler.js';
-import {UpstreamConfirmation} from './upstream-confirmation.js';
+import {createAnnouncementHandler} from './announcement-creation.js';
+import {upstreamStates, type AnnouncementHandler} from './announcement-handler.js';
 
 /** Time for which a stopping node still accepts calls, so that callers can see that it is not ready before it refuses them. */
 const shutdownDelayMs = 3000;
@@ -125,9 +125,8 @@
 				}
 			},
 		});
-		const upstreamLog = this.#createLog('upstream');
-		this.announcementHandler = new AnnouncementHandler({
-			localUpstream: this.#localUpstream, directory: this.#directory, confirmation: new UpstreamConfirmation(dependencies.upstreamCheck, clock, upstreamLog), clock, log: upstreamLog,
+		this.announcementHandler = createAnnouncementHandler(dependencies, {
+			localUpstream: this.#localUpstream, directory: this.#directory, clock, log: this.#createLog('upstream'),
 		});
 		registerUpstreamMetrics(registry, this.#localUpstream);
 		this.quarantine = new Quarantine(clock, this.#createLog('mesh'), records => {
--- a/packages/node/src/test/announcement-handler_test.ts
+++ b/packages/node/src/test/announcement-handler_test.ts
@@ -8,6 +8,7 @@
 import {waitUntil} from '@ebonylead/stand-ins/wait-until.js';
 import {LocalUpstream} from '@ebonylead/upstreams/local-upstream.js';
 import {upstreamConditions, type UpstreamCheck, type UpstreamCondition} from '@ebonylead/upstreams/upstream-check.js';
+import {Registry} from 'prom-client';
 import {AnnouncementHandler, type StampedAnnouncement} from '../announcement-handler.js';
 import {MemberDirectory} from '../member-directory.js';
 import {UpstreamConfirmation} from '../upstream-confirmation.js';
@@ -61,7 +62,9 @@
 	});
 	const clock = new SystemClock();
 	const handler = new AnnouncementHandler({
-		localUpstream, directory, confirmation: new UpstreamConfirmation(upstreamCheck, clock, log), clock, log,
+		localUpstream, directory, confirmation: new UpstreamConfirmation({
+			check: upstreamCheck, registry: new Registry(), clock, log,
+		}), clock, log,
 	});
 	void handler.run();
 	const running = directory.run(controller.signal);
--- a/packages/node/src/upstream-confirmation.ts
+++ b/packages/node/src/upstream-confirmation.ts
@@ -4,8 +4,18 @@
 import {type AnnouncementStamp} from '@ebonylead/upstreams/announcement-order.js';
 import {upstreamConditions, type UpstreamCheck, type UpstreamCondition} from '@ebonylead/upstreams/upstream-check.js';
 import {buildIncarnationKey} from '@ebonylead/upstreams/upstream-notice.js';
+import {Counter, type Registry} from 'prom-client';
 import {type RecordedUpstream} from './member-row.js';
 
+/** Dependencies of `UpstreamConfirmation`. */
+export type UpstreamConfirmationDependencies = {
+	/** Undefined where upstreams can't be asked; then each counts as confirmed. */
+	readonly check: UpstreamCheck | undefined;
+	readonly registry: Registry;
+	readonly clock: Clock;
+	readonly log: Logger;
+};
+
 /** By how much the clocks of a node and its upstream may differ when their starts are compared, in milliseconds. */
 const clockToleranceMs = 5000;
 
@@ -20,18 +30,21 @@
 	readonly #check: UpstreamCheck | undefined;
 	readonly #clock: Clock;
 	readonly #log: Logger;
+	readonly #checks: Counter;
 	readonly #startedAt: number;
 	readonly #confirmed = new Set<string>();
 
 	/** Questions that wait for their answer, by upstream process. */
 	readonly #pending = new Map<string, Promise<UpstreamCondition>>();
 
-	/** @param check Undefined where upstreams can't be asked; then each counts as confirmed. */
-	constructor(check: UpstreamCheck | undefined, clock: Clock, log: Logger) {
+	constructor({check, registry, clock, log}: UpstreamConfirmationDependencies) {
 		this.#check = check;
 		this.#clock = clock;
 		this.#log = log;
 		this.#startedAt = clock.wallTime();
+		this.#checks = new Counter({
+			name: 'ebonylead_upstream_checks_total', help: 'Questions to the local upstream whether it leaves, by its answer.', labelNames: ['condition'], registers: [registry],
+		});
 	}
 
 	/** Returns whether an upstream process must be asked before it is used that an earlier process of this node recorded. */
@@ -62,6 +75,7 @@
 			this.#confirmed.add(key);
 		}
 
+		this.#checks.inc({condition});
 		this.#log.info({stamp, condition, duration: Math.round(this.#clock.now() - askedAt)}, 'Asked the upstream whether it leaves');
 		return condition;
 	}
