--- a/packages/node/src/announcement-handler.ts
+++ b/packages/node/src/announcement-handler.ts
@@ -157,7 +157,15 @@
 		if (condition === upstreamConditions.ready || (condition === upstreamConditions.unknown && isAnnounced)) {
 			this.#confirmation.recordConfirmed(stamp);
 			this.#localUpstream.applyAnnouncement(announcement);
-		} else if (condition === upstreamConditions.notReady && this.#localUpstream.status.value.state === 'absent') {
+		} else if (condition === upstreamConditions.notReady) {
+			await this.#recordUnconfirmed(announcement);
+		}
+	}
+
+	/** Writes to the row of this node that its upstream is absent, unless the row says so or another upstream is in use. */
+	async #recordUnconfirmed(announcement: UpstreamAnnouncement): Promise<void> {
+		const isAbsent = this.#localUpstream.status.value.state === 'absent';
+		if (isAbsent && this.#directory.self.upstreamState !== UpstreamState.ABSENT) {
 			await this.#updateMember({...announcement, state: 'absent'}, 0);
 		}
 	}
--- a/packages/node/src/test/announcement-handler_test.ts
+++ b/packages/node/src/test/announcement-handler_test.ts
@@ -134,6 +134,26 @@
 		}, undefined, check);
 	});
 
+	// Guards against a write and a change of members at each heartbeat of an upstream that fails for long.
+	it('costs no further write while its heartbeats go on and it says that it fails', async t => {
+		const store = new FakeRowStore();
+		const check = new FakeCheck();
+		await writeReadyUpstream(store);
+		check.condition = upstreamConditions.notReady;
+		await withProcess(store, async handler => {
+			await waitForAbsence(store);
+			await sleep(settleMs);
+			const {revision} = store.createCopy();
+			for (const sequence of [2, 3, 4]) {
+				await handler.handleAnnouncement(buildAnnouncement('ready', sequence));
+				await sleep(settleMs);
+			}
+
+			t.is(check.count, 4);
+			t.is(store.createCopy().revision, revision);
+		}, undefined, check);
+	});
+
 	it('is used by a later heartbeat when it no longer says that it fails', async t => {
 		const store = new FakeRowStore();
 		const check = new FakeCheck();
