Excuse in the soak only the request whose response was hit by a fault

Now such a fault excuses only the request whose response it hit, and neither a second run nor a false refusal of it; all else is checked as before. So an unclean stop is excused if it ended a request that was hit; each other request that it ends is still checked for itself.

--- a/packages/bench/src/soak-ledger.ts
+++ b/packages/bench/src/soak-ledger.ts
@@ -30,6 +30,10 @@
 
 	/** Time at which its caller closed the connection. */
 	leftAt?: number;
+
+	/** Whether a fault was put into a response to it, so that it may end without that response. */
+	isHit?: boolean;
+	endedAt?: number;
 };
 
 /** The crashes that one request caused, and the arrivals after which it should have been refused. */
@@ -241,6 +245,7 @@
 		const request = this.#requests.get(id)!;
 		const duration = this.#now() - request.sentAt;
 		request.end = end;
+		request.endedAt = this.#now();
 		this.counts[end]++;
 		this.#countFailure(request, end, detail);
 		if (end === 'refused' && !request.isIdempotent && request.runCount > 0) {
@@ -249,7 +254,7 @@
 
 		const isLost = end === 'closed' && (request.runCount > 0 || duration > lossSlackMs);
 		const isBrokenOff = end === 'failed' && request.runCount > 0 && duration < request.deadline * deadlineShare;
-		if ((isLost || isBrokenOff) && !this.#isExcused(this.#faults, request.sentAt)) {
+		if ((isLost || isBrokenOff) && !request.isHit && !this.#isExcused(this.#faults, request.sentAt)) {
 			this.recordViolation('planned work', `${id} at ${request.process} ended after ${Math.round(duration)} ms with ${request.runCount} runs: ${end}, ${detail}`);
 		}
 	}
@@ -290,14 +295,27 @@
 		}
 	}
 
-	/** Records that a fault was put into a response. */
-	recordInjection(what: string): void {
+	/** Records that a fault was put into the response to a request, which may end by it. */
+	recordInjection(what: string, id: string): void {
 		this.injections.set(what, (this.injections.get(what) ?? 0) + 1);
+		const request = this.#requests.get(id);
+		if (request !== undefined) {
+			request.isHit = true;
+		}
 	}
 
-	/** Records that a process that was told to stop did not stop cleanly. */
-	recordStop(process: string, detail: string): void {
-		if (!this.#isExcused(this.#faults, this.#now())) {
+	/**
+	 * Records that a process that was told to stop did not stop cleanly.
+	 *
+	 * A request whose response was hit by a fault may still run in its next attempt when the time to stop is over. Each other
+	 * request that the stop ends is checked for itself.
+	 *
+	 * @param duration Milliseconds from the signal to the end of the process.
+	 */
+	recordStop(process: string, detail: string, duration: number): void {
+		const since = this.#now() - duration;
+		const hasEndedHit = [...this.#requests.values()].some(({isHit, end, endedAt, process: name}) => isHit && end === 'failed' && name === process && (endedAt ?? 0) >= since);
+		if (!hasEndedHit && !this.#isExcused(this.#faults, this.#now())) {
 			this.recordViolation('planned work', `${process} did not stop cleanly: ${detail}`);
 		}
 	}
--- a/packages/bench/src/soak-plan.ts
+++ b/packages/bench/src/soak-plan.ts
@@ -14,7 +14,7 @@
 /** Faults that go with load: a request that crashes upstreams, and a node that gets little processor time. They may end requests. */
 const loadFaults = ['crashing-request', 'slow-node'] as const;
 
-/** Faults in the responses of upstreams: refusals, late second copies (whole or broken off), own statuses that promise that nothing ran, and losses. They may end requests. */
+/** Faults in the responses of upstreams: refusals, late second copies (whole or broken off), own statuses that promise that nothing ran, and losses. Each may end the request that it hits, and no other. */
 export const responseFaultKinds = ['upstreams-refuse', 'late-copies', 'broken-copies', 'own-refusals', 'lost-responses'] as const;
 
 /** One of `responseFaultKinds`. */
@@ -209,12 +209,12 @@
 
 /** Returns whether a disturbance may end requests. */
 export function isProcessFault(kind: SoakEventKind): boolean {
-	return ([...processFaults, ...loadFaults, ...responseFaultKinds] as readonly string[]).includes(kind);
+	return ([...processFaults, ...loadFaults] as readonly string[]).includes(kind);
 }
 
-/** Returns whether a disturbance excuses nothing: planned work, what upstreams ask for, and callers that leave. */
+/** Returns whether a disturbance excuses no request in general: planned work, what upstreams ask for, callers that leave, and faults in single responses. */
 export function isPlanned(kind: SoakEventKind): boolean {
-	return ([...plannedKinds, ...upstreamKinds, ...callerKinds, ...endKinds] as readonly string[]).includes(kind);
+	return ([...plannedKinds, ...upstreamKinds, ...callerKinds, ...endKinds, ...responseFaultKinds] as readonly string[]).includes(kind);
 }
 
 /** Plans one event, or a series of restarts in the order of the VMs, in which the same VM may come twice. */
--- a/packages/bench/src/test/soak-ledger_test.ts
+++ b/packages/bench/src/test/soak-ledger_test.ts
@@ -35,6 +35,48 @@
 		t.deepEqual(ledger.violations, []);
 	});
 
+	it('excuses only the request whose response was hit by a fault', t => {
+		const {ledger, send, advance} = createFixture();
+		for (const id of ['hit', 'other']) {
+			send(id);
+			ledger.recordRun(id, 'u');
+		}
+
+		ledger.recordInjection('lost response', 'hit');
+		advance(100);
+		ledger.recordEnd('hit', 'failed', '');
+		t.deepEqual(ledger.violations, []);
+		ledger.recordEnd('other', 'failed', '');
+		t.is(ledger.violations.length, 1);
+	});
+
+	it('excuses an unclean stop only if it ended a request that was hit', t => {
+		const {ledger, send, advance} = createFixture();
+		send('hit');
+		send('other');
+		ledger.recordInjection('lost response', 'hit');
+		advance(5000);
+		ledger.recordEnd('other', 'failed', '');
+		ledger.recordStop('p', 'exit code 1', 5000);
+		t.is(ledger.violations.length, 1);
+		ledger.recordEnd('hit', 'failed', '');
+		ledger.recordStop('p', 'exit code 1', 5000);
+		t.is(ledger.violations.length, 1);
+		advance(6000);
+		ledger.recordStop('p', 'exit code 1', 5000);
+		t.is(ledger.violations.length, 2);
+	});
+
+	it('excuses no second run and no false refusal by such a fault', t => {
+		const {ledger, send} = createFixture();
+		send('a');
+		ledger.recordRun('a', 'u');
+		ledger.recordInjection('late copy', 'a');
+		ledger.recordRun('a', 'v');
+		ledger.recordEnd('a', 'refused', '');
+		t.is(ledger.violations.filter(violation => /at most once|true refusals/v.test(violation)).length, 2);
+	});
+
 	it('counts no request of a process that was not told of a limit or a leave', t => {
 		const {ledger, send, advance} = createFixture();
 		ledger.recordLimit('u', 1);
