--- a/packages/node/src/test/announcement-handler_test.ts
+++ b/packages/node/src/test/announcement-handler_test.ts
@@ -98,6 +98,17 @@
 	}
 }
 
+/** An upstream that answers a question when the test tells it to. */
+class PendingCheck implements UpstreamCheck {
+	answer: (condition: UpstreamCondition) => void = () => undefined;
+
+	async check(): Promise<UpstreamCondition> {
+		return new Promise(resolve => {
+			this.answer = resolve;
+		});
+	}
+}
+
 /** Lets a process of the node write that the upstream is ready. */
 async function writeReadyUpstream(store: FakeRowStore): Promise<void> {
 	await withProcess(store, async handler => {
@@ -188,15 +199,10 @@
 		]) {
 			const store = new FakeRowStore();
 			await writeReadyUpstream(store);
-			let answer: (condition: UpstreamCondition) => void;
-			const check: UpstreamCheck = {
-				check: async () => new Promise(resolve => {
-					answer = resolve;
-				}),
-			};
+			const check = new PendingCheck();
 			await withProcess(store, async (handler, localUpstream) => {
 				await leave(handler);
-				answer(upstreamConditions.ready);
+				check.answer(upstreamConditions.ready);
 				await sleep(settleMs);
 				t.is(localUpstream.status.value.state, 'draining');
 				t.true(store.findValue('members', 'n')!.includes('"hasLeft":true'));
@@ -304,16 +310,11 @@
 	});
 
 	it('of a leave out of order keep a process out of use that is being asked', async t => {
-		let answer: (condition: UpstreamCondition) => void;
-		const check: UpstreamCheck = {
-			check: async () => new Promise(resolve => {
-				answer = resolve;
-			}),
-		};
+		const check = new PendingCheck();
 		await withProcess(new FakeRowStore(), async (handler, localUpstream) => {
 			await handler.handleAnnouncement(buildAnnouncement('ready', 3));
 			await handler.handleAnnouncement(buildAnnouncement('draining', 2));
-			answer(upstreamConditions.ready);
+			check.answer(upstreamConditions.ready);
 			await sleep(settleMs);
 			t.is(localUpstream.status.value.state, 'draining');
 		}, undefined, check);
