--- a/review/lib-2/fleet.js
+++ b/review/lib-2/fleet.js
@@ -5,7 +5,7 @@
 	closeSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync,
 } from 'node:fs';
 import {Agent, request as sendHttp} from 'node:http';
-import {createServer} from 'node:net';
+import {connect, createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
@@ -50,6 +50,18 @@
 	return ports;
 }
 
+async function isListening(host, port) {
+	return new Promise(resolve => {
+		const socket = connect(port, host, () => {
+			socket.destroy();
+			resolve(true);
+		});
+		socket.on('error', () => {
+			resolve(false);
+		});
+	});
+}
+
 /** Writes lines of a record with the time since its start. */
 export class Record {
 	#lines = [];
@@ -188,6 +200,20 @@
 		}
 	}
 
+	/** Waits until the control addresses of nodes accept connections. */
+	async waitUntilListening(machines) {
+		const end = performance.now() + startTimeoutMs;
+		for (const {name, host, controlPort} of machines) {
+			while (!await isListening(host, controlPort)) {
+				if (performance.now() > end) {
+					throw new CaseError(`${name} does not listen`);
+				}
+
+				await sleep(pollIntervalMs);
+			}
+		}
+	}
+
 	async isReady({host}) {
 		return new Promise(resolve => {
 			const probe = sendHttp({
--- a/review/lib-2/upstream.js
+++ b/review/lib-2/upstream.js
@@ -87,14 +87,32 @@
 		}
 	}
 
-	async #beat() {
+	/** Says that it ends, without having said before that it drains; it serves on. Resolves to whether that was acknowledged. */
+	async deregister() {
+		clearInterval(this.#timer);
+		this.state = 'left';
+		const {host, controlPort} = this.options;
+		return post(host, controlPort, `/v1/instances/${this.id}/deregister`, JSON.stringify({born: this.born}));
+	}
+
+	/** Creates the next heartbeat, for one that is on its way for long. */
+	createHeartbeat() {
 		const {
-			host, port, controlPort, service, zone, slots,
+			host, port, service, zone, slots,
 		} = this.options;
 		this.#sequence++;
-		return post(host, controlPort, `/v1/instances/${this.id}/heartbeat`, JSON.stringify({
-			service, address: `${host}:${port}`, zone, version: 'v1', max_concurrency: slots, state: this.state, warmup_left_s: 0, seq: this.#sequence, born: this.born,
-		}));
+		return {
+			path: `/v1/instances/${this.id}/heartbeat`,
+			body: JSON.stringify({
+				service, address: `${host}:${port}`, zone, version: 'v1', max_concurrency: slots, state: this.state, warmup_left_s: 0, seq: this.#sequence, born: this.born,
+			}),
+		};
+	}
+
+	async #beat() {
+		const {host, controlPort} = this.options;
+		const {path, body} = this.createHeartbeat();
+		return post(host, controlPort, path, body);
 	}
 
 	#handle(incoming, response) {
