--- a/review/9/run.js
+++ b/review/9/run.js
@@ -6,7 +6,7 @@
 
 const stabilityWindowMs = 3000;
 const maxRetries = 3;
-const downMs = 1500;
+const downMs = 3000;
 const runMs = 150;
 const target = '/lots/17';
 const crashingCaller = 'office';
@@ -65,6 +65,6 @@
 	await sleep(30_000);
 	sending.abort();
 	await Promise.all(tasks);
-	await sleep(2500);
+	await sleep(downMs + 1000);
 	return counted.length <= maxRetries ? undefined : `BUDGET: a request that crashes the upstreams that run it reached them ${counted.length} times more, later than stability_window_s after it had crashed the third: ${counted.join(', ')}`;
 });
--- a/review/lib-2/fleet.js
+++ b/review/lib-2/fleet.js
@@ -21,6 +21,9 @@
 /** Longest duration of a case, with which it ends before two minutes have passed. */
 const maxDurationMs = 110_000;
 
+/** Exit code of a run in which the rule was broken. */
+const brokenCode = 10;
+
 /** The case could not run. */
 export class CaseError extends Error {
 	name = 'CaseError';
@@ -93,6 +96,7 @@
 	limits = {
 		max_header_bytes: 16_384, max_body_bytes: 67_108_864, header_timeout_s: 3, idle_timeout_s: 15,
 	};
+	#isStopped = false;
 	#version = 0;
 	#storeAddress = '';
 	#ports = {};
@@ -144,6 +148,10 @@
 
 	/** Starts the process of a machine's node. */
 	startNode(machine) {
+		if (this.#isStopped) {
+			return;
+		}
+
 		const {name} = machine;
 		machine.starts++;
 		const settingsPath = this.#writeSettings(machine);
@@ -166,13 +174,6 @@
 		this.#record.add(`${name}: the node's process is started`);
 	}
 
-	/** Gives a machine to another service: its settings file changes, and no signal is sent. */
-	assignService(machine, service) {
-		machine.service = service;
-		machine.upstream.options.service = service;
-		this.#writeSettings(machine);
-	}
-
 	/** Kills the processes of several nodes at the same moment, and starts them again after a time. */
 	async killAndRestart(machines, downMs) {
 		for (const {child} of machines) {
@@ -262,8 +263,19 @@
 		return end;
 	}
 
+	/** Ends all processes at once, also where this process is about to end. */
+	killAll() {
+		this.#isStopped = true;
+		for (const {child} of this.machines) {
+			child?.kill('SIGKILL');
+		}
+
+		rmSync(this.#directory, {recursive: true, force: true});
+	}
+
 	/** Ends all that was started. */
 	async stop() {
+		this.#isStopped = true;
 		this.#agent.destroy();
 		for (const {child, exited, upstream} of this.machines) {
 			child.kill('SIGKILL');
@@ -315,7 +327,8 @@
 }
 
 /**
- * Runs a case: exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case could not run.
+ * Runs a case: exits with 0 if the rule held, with `brokenCode` if it was broken, and with 2 if the case could not run. An error of Node
+ * itself, as in a module that is missing, exits with 1, which `run.sh` takes for a case that could not run.
  *
  * @param folder URL of a file in the folder of the case.
  * @param play Plays the case with a fleet and a record; returns why the rule is broken, or undefined if it held.
@@ -325,12 +338,23 @@
 	const fleet = new Fleet(record);
 	const hasTrouble = process.env.TROUBLE !== '0';
 	let code = 2;
+	process.on('exit', () => {
+		fleet.killAll();
+	});
+	for (const event of ['SIGINT', 'SIGTERM', 'SIGHUP', 'uncaughtException', 'unhandledRejection']) {
+		process.on(event, reason => {
+			record.add(`the case could not run: ${event} ${reason?.stack ?? ''}`);
+			record.write();
+			process.exit(2);
+		});
+	}
+
 	try {
 		await fleet.start();
 		const breach = await Promise.race([play({fleet, record, hasTrouble}), sleep(maxDurationMs).then(() => {
 			throw new CaseError('it took too long');
 		})]);
-		code = breach === undefined ? 0 : 1;
+		code = breach === undefined ? 0 : brokenCode;
 		record.add(breach === undefined ? 'the rule held' : `the rule is broken: ${breach}`);
 	} catch (error) {
 		record.add(`the case could not run: ${error.stack}`);
--- a/review/lib-2/upstream.js
+++ b/review/lib-2/upstream.js
@@ -35,7 +35,7 @@
 	id = '';
 	born = 0;
 	state = 'ready';
-	/** Whether it answers on its health path that it is well, as long as it does not leave. */
+	/** Whether its process runs. */
 	isListening = false;
 	#sequence = 0;
 	#timer;
