--- a/review/lib-3/mesh.js
+++ b/review/lib-3/mesh.js
@@ -185,16 +185,7 @@
 		this.#version += 2;
 		const columns = ['name', 'host', 'prefix', 'kind', 'timeout_s', 'target_latency_s', 'priority', 'traffic_split', 'max_attempts', 'service', 'public'];
 		const services = [...new Set(this.machines.map(machine => machine.service))];
-		const routes = this.routes.length > 0
-			? this.routes
-			: services.flatMap(service => [
-				{
-					name: `${service}-read`, host: 'a.example', prefix: `/${service}/read/`, kind: 'safe', timeout_s: 8, target_latency_s: 1, priority: 2, max_attempts: 2, service,
-				},
-				{
-					name: `${service}-write`, host: 'a.example', prefix: `/${service}/write/`, kind: 'unsafe', timeout_s: 8, target_latency_s: 1, priority: 1, max_attempts: 2, service,
-				},
-			]);
+		const routes = this.listRoutes();
 		this.store.write('op', 'config', {
 			version: `r${this.#version}`,
 			routes: {columns, rows: routes.map(route => columns.map(name => route[name] ?? null))},
@@ -205,6 +196,24 @@
 		this.record.add('configuration-acknowledged', {version: `r${this.#version}`});
 	}
 
+	/** Lists the routes: for each service one that is safe and one that is not, unless others are set. */
+	listRoutes() {
+		const services = [...new Set(this.machines.map(machine => machine.service))];
+		const shared = {
+			host: 'a.example', timeout_s: 8, target_latency_s: 1, max_attempts: 2,
+		};
+		return this.routes.length > 0
+			? this.routes
+			: services.flatMap(service => [
+				{
+					...shared, name: `${service}-read`, prefix: `/${service}/read/`, kind: 'safe', priority: 2, service,
+				},
+				{
+					...shared, name: `${service}-write`, prefix: `/${service}/write/`, kind: 'unsafe', priority: 1, service,
+				},
+			]);
+	}
+
 	/** Sends one request as a client on a machine; resolves to its status, or to 0 if it got none. */
 	async send(machine, path, {method = 'GET', deadline = 3000, body, headers = {}, agent = machine.agent} = {}) {
 		this.#requestCount++;
@@ -308,6 +317,9 @@
 	const limit = setTimeout(() => {
 		abort('the case took too long');
 	}, maxCaseMs);
+	process.on('uncaughtException', error => {
+		abort(`could not run: ${error.stack}`);
+	});
 	for (const name of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
 		process.on(name, () => {
 			abort(`the case got ${name}`);
