--- a/review/13/case.js
+++ b/review/13/case.js
@@ -1,75 +1,78 @@
 /* eslint-disable camelcase -- The names of the users' pages. */
-/** The node that keeps the quotas stands still while a tenant sends more than its limit: the other nodes go on admitting its requests. */
+/** A route whose time-out is shorter than the mean request of its service is added while the service runs: none of its requests is served, although slots are free. */
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
-import {detach} from '../lib-3/record.js';
-import {parseRecord} from '../lib-3/checks.js';
+import {parseRecord, sendSteadily} from '../lib-3/checks.js';
 import {runCase} from '../lib-3/mesh.js';
 
-const rate = 20;
-const burst = 20;
-const windowS = 5;
-const over = 0.1;
-const slack = 20;
-const allowed = (((rate * windowS) + burst) * (1 + over)) + slack;
+/** Work of the requests on the first route, and of those on the added one; the time-out of the added one. */
+const reportMs = 640;
+const checkMs = 40;
+const timeoutS = 0.5;
 
-/** The tenant's usual rate, of which its limit is 1.6 times, and how many times as much it sends while it is hot. */
-const usualPerS = rate / 1.6;
-const hotFactor = 7.5;
-const hotMs = 6500;
-const frozenMs = 5000;
+/** Time after the acknowledgement of the configuration from which on requests are counted, and for how long they are. */
+const settleMs = 6000;
+const countedMs = 15_000;
+const minRequests = 20;
+const firstRoute = '/shop/read/';
+const addedRoute = '/shop/check/';
 
-/** Finds the machine to which all nodes report, by their logs; undefined while there is none. */
-function findHome(mesh) {
-	const homes = mesh.logs.map(text => /"home":"(?<name>[^"]+)".*Reporting to a quota home/v.exec(text)?.groups.name).filter(Boolean);
-	return mesh.machines.find(({name}) => name === homes.at(-1));
+/** Lists the statuses of the requests on a route that were sent in a time. */
+function listStatuses(mesh, route, from, to) {
+	const events = parseRecord(mesh);
+	const statuses = new Map(events.filter(({kind}) => kind === 'answered').map(({id, status}) => [id, status]));
+	return events.filter(({kind, at, path: sentPath}) => kind === 'sent' && sentPath.startsWith(route) && at >= from && at < to).map(({id}) => statuses.get(id));
 }
 
-/** Counts the runs in the window that has most. */
-function countMost(times) {
-	return Math.max(0, ...times.map(start => times.filter(at => at >= start && at < start + (windowS * 1000)).length));
+function computeServedShare(statuses) {
+	return statuses.filter(status => status === '200').length / statuses.length;
 }
 
-await runCase(path.dirname(fileURLToPath(import.meta.url)), {upstreamOptions: () => ({slots: 40, workMs: () => 5})}, async (mesh, hasTrouble) => {
-	mesh.contracts = ['tenants', 'quota'];
-	mesh.bounds = {
-		quota_window_s: windowS, quota_over: over, quota_slack: slack, revoke_strict: false, revoke_s: 5,
+await runCase(path.dirname(fileURLToPath(import.meta.url)), {upstreamOptions: () => ({workMs: request => request.url.startsWith(addedRoute) ? checkMs : reportMs})}, async (mesh, hasTrouble) => {
+	await mesh.start(['shop', 'shop', 'shop', 'desk', 'desk', 'desk'], {zones: ['a', 'b', 'c']});
+	const addRoute = () => {
+		const [route] = mesh.listRoutes();
+		mesh.routes = [...mesh.listRoutes(), {
+			...route, name: 'shop-check', prefix: addedRoute, timeout_s: timeoutS, target_latency_s: 0.15,
+		}];
+		mesh.writeConfiguration();
+		mesh.record.tell(`the route ${addedRoute} with a time-out of ${timeoutS} s is acknowledged`);
 	};
-	mesh.tenants = {columns: ['name', 'api_keys', 'priority', 'rate_per_s', 'burst'], rows: [['acme', ['k-acme'], null, rate, burst], ['other', ['k-other'], null, 0, 0]]};
-	await mesh.start(['shop', 'shop', 'shop', 'shop', 'shop', 'desk', 'desk', 'desk', 'desk', 'desk'], {zones: ['a', 'b', 'c']});
-	let perSecond = usualPerS;
-	const ending = new AbortController();
-	const sending = (async () => {
-		for (let count = 0; !ending.signal.aborted; count++) {
-			const serving = mesh.machines.filter(machine => !machine.isFrozen);
-			detach(mesh.send(serving[count % serving.length], '/shop/read/x', {headers: {'x-api-key': 'k-acme'}, deadline: 2000}));
-			await sleep(1000 / perSecond);
-		}
-	})();
-	await sleep(6000);
-	const home = findHome(mesh);
-	if (home === undefined) {
-		throw new Error('no quota home was found');
-	}
 
+	const callers = mesh.machines.slice(3);
+	const stops = [];
+	const startReports = () => stops.push(sendSteadily(mesh, callers, [`${firstRoute}season`], 200, {deadline: 8000}));
+	const startChecks = () => stops.push(sendSteadily(mesh, callers, [`${addedRoute}plant`], 100, {deadline: timeoutS * 1000}));
 	if (hasTrouble) {
-		mesh.record.tell(`${home.name} stands still for ${frozenMs} ms`);
-		home.isFrozen = true;
-		home.signal('SIGSTOP');
-		setTimeout(() => {
-			home.signal('SIGCONT');
-			home.isFrozen = false;
-		}, frozenMs);
+		startReports();
+		await sleep(5000);
+		addRoute();
+		await sleep(3000);
+		startChecks();
+	} else {
+		// The same routes and requests, without a change of the configuration while the service runs.
+		addRoute();
+		await sleep(3000);
+		startChecks();
+		startReports();
+		await sleep(5000);
+	}
+
+	await sleep(settleMs - 3000);
+	const from = mesh.record.now;
+	mesh.record.tell(`requests are counted from ${from} on`);
+	await sleep(countedMs);
+	for (const stop of stops) {
+		stop();
 	}
 
-	mesh.record.tell(`the tenant sends ${hotFactor} times its usual`);
-	perSecond = usualPerS * hotFactor;
-	await sleep(hotMs);
-	perSecond = usualPerS;
-	await sleep(4000);
-	ending.abort();
-	await sending;
-	const most = countMost(parseRecord(mesh).filter(({kind, tenant}) => kind === 'run' && tenant === 'acme').map(({at}) => at));
-	return {isBroken: most > allowed, text: `at most ${most} requests of the tenant ran in ${windowS} s; ${allowed} are allowed`};
+	await sleep(2000);
+	const added = listStatuses(mesh, addedRoute, from, from + countedMs);
+	const first = listStatuses(mesh, firstRoute, from, from + countedMs);
+	const shares = {added: computeServedShare(added), first: computeServedShare(first)};
+	return {
+		isBroken: added.length >= minRequests && shares.added < shares.first / 4,
+		text: `served in steady state: ${shares.added.toFixed(2)} of ${added.length} requests on the added route, ${shares.first.toFixed(2)} of ${first.length} on the first one`,
+	};
 });
