--- a/review/11/case.js
+++ b/review/11/case.js
@@ -14,8 +14,16 @@
 /** Time after the end of a process in which its clients see it. */
 const lossMs = 300;
 
+/** Work of a request at the service with the faulty upstream, when it is sound. */
+const shopWorkMs = 200;
+
+/** Work of a request at the other service; it varies, so that their ends are spread. */
+function computeDeskWork() {
+	return 600 + (400 * Math.random());
+}
+
 /** One write of an answer in trouble, and the pause after it. */
-const chunksPerWrite = 8192;
+const chunksPerWrite = 1024;
 const writeIntervalMs = 20;
 
 /** Answers with a head that is right, and then with bytes that do not end until the connection is closed. */
@@ -35,21 +43,21 @@
 	return true;
 }
 
-await runCase(path.dirname(fileURLToPath(import.meta.url)), {upstreamOptions: machine => ({workMs: () => machine.service === 'desk' ? 600 + (400 * Math.random()) : 50})}, async (mesh, hasTrouble) => {
+await runCase(path.dirname(fileURLToPath(import.meta.url)), {upstreamOptions: machine => ({workMs: () => machine.service === 'desk' ? computeDeskWork() : shopWorkMs})}, async (mesh, hasTrouble) => {
 	await mesh.start(['shop', 'desk', 'desk', 'desk', 'shop', 'shop'], {zones: ['a', 'b', 'c']});
 	const [machine] = mesh.machines;
 	const ending = new AbortController();
 	// Clients on the machine with the faulty upstream, whose requests go to other services, and callers of its service on all machines.
 	const clients = [
 		...Array.from({length: 16}, () => ({at: machine, path: '/desk/write/x'})),
-		...Array.from({length: 18}, (_, index) => ({at: mesh.machines[1 + (index % 3)], path: '/shop/read/x'})),
+		...Array.from({length: 27}, (_, index) => ({at: mesh.machines[1 + (index % 3)], path: '/shop/read/x'})), // As many as the slots of its three upstreams.
 	];
 	for (const client of clients) {
 		detach((async () => {
 			// Each client begins at a time of its own.
 			await sleep(maxStartMs * Math.random());
 			while (!ending.signal.aborted) {
-				const options = client.path.includes('/write/') ? {method: 'POST', body: 'a declaration', deadline: 4000} : {deadline: 4000};
+				const options = client.path.includes('/write/') ? {method: 'POST', body: 'a declaration', deadline: 4000} : {deadline: troubleMs};
 				await mesh.send(client.at, client.path, options);
 				await sleep(20);
 			}
