--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -6,6 +6,11 @@
 trap 'kill -TERM $child 2> /dev/null' TERM INT HUP
 wait $child
 code=$?
+# A signal ends the wait before the child has ended.
+while kill -0 $child 2> /dev/null; do
+	wait $child
+	code=$?
+done
 case $code in
 	0) exit 0 ;;
 	10) exit 1 ;;
--- a/review/lib-3/mesh.js
+++ b/review/lib-3/mesh.js
@@ -13,7 +13,7 @@
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
-import {Record} from './record.js';
+import {detach, Record} from './record.js';
 import {Store} from './store.js';
 import {Upstream} from './upstream.js';
 
@@ -35,6 +35,9 @@
 const memoryMb = 350;
 const maxCaseMs = 110_000;
 
+/** Time that an aborted case waits for the ends of the nodes that it has killed. */
+const maxAbortMs = 2000;
+
 /** Exit code of a case whose rule was broken: not 1, with which Node ends on an error of its own. */
 const exitBroken = 10;
 
@@ -102,6 +105,10 @@
 
 	/** Starts the node; the platform starts an ended one again after a short delay. */
 	startNode() {
+		if (this.mesh.isStopped) {
+			return;
+		}
+
 		this.writeSettings();
 		const {program, words} = readCommand();
 		const child = spawn(program, words, {cwd: root, env: {PATH: process.env.PATH, HOME: process.env.HOME, EBONYLEAD_CONFIG: this.settingsPath}, stdio: ['ignore', 'pipe', 'pipe']});
@@ -312,27 +319,36 @@
 	const mesh = new Mesh(path.join(folder, 'record.txt'), options);
 	const hasTrouble = process.env.TROUBLE !== '0';
 	let code = 2;
-	const abort = reason => {
+	let isAborted = false;
+	const abort = async reason => {
+		if (isAborted) {
+			return;
+		}
+
+		isAborted = true;
 		mesh.record.tell(reason);
 		mesh.record.write();
 		mesh.isStopped = true;
-		for (const machine of mesh.machines) {
-			machine.child?.kill('SIGKILL');
+		const running = mesh.machines.map(machine => machine.child).filter(child => child && child.exitCode === null && child.signalCode === null);
+		const ends = Promise.all(running.map(async child => once(child, 'exit')));
+		for (const child of running) {
+			child.kill('SIGKILL');
 		}
 
+		await Promise.race([ends, sleep(maxAbortMs)]);
 		rmSync(mesh.folder, {recursive: true, force: true});
 		process.exit(2);
 	};
 
 	const limit = setTimeout(() => {
-		abort('the case took too long');
+		detach(abort('the case took too long'));
 	}, maxCaseMs);
 	process.on('uncaughtException', error => {
-		abort(`could not run: ${error.stack}`);
+		detach(abort(`could not run: ${error.stack}`));
 	});
 	for (const name of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
 		process.on(name, () => {
-			abort(`the case got ${name}`);
+			detach(abort(`the case got ${name}`));
 		});
 	}
 
@@ -351,5 +367,5 @@
 		}
 	}
 
-	process.exit(code);
+	process.exit(isAborted ? 2 : code);
 }
