LOST: hold bodies and responses in parts of one byte by their bytes, not by their parts

Cause: responses and bodies were held as lists of the parser's parts, with a limit on their bytes only. A part of one byte takes over 100 bytes as an object. What was passed on was one write for each part as well.

Change: ByteQueue copies small parts into blocks, and keeps at most twice its bytes and a block alive. PartWriter writes the parts of one read together, at both hops. The budget for bodies that are read ahead counts memory.

--- a/packages/base/src/bounded-text.ts
+++ b/packages/base/src/bounded-text.ts
@@ -1,5 +1,5 @@
 /** Reads texts from streams whose senders are not trusted to end them. */
-import {Buffer} from 'node:buffer';
+import {ByteQueue} from './byte-queue.js';
 import {StepError} from './errors.js';
 
 /**
@@ -9,16 +9,14 @@
  * @throws StepError if the stream has more bytes than the maximum; no more is read then.
  */
 export async function readBoundedText(stream: AsyncIterable<Uint8Array>, maxBytes: number, sender: string): Promise<string> {
-	const parts: Uint8Array[] = [];
-	let size = 0;
+	const queue = new ByteQueue();
 	for await (const part of stream) {
-		size += part.length;
-		if (size > maxBytes) {
+		if (queue.length + part.length > maxBytes) {
 			throw new StepError('read', sender, `more than ${maxBytes} bytes`);
 		}
 
-		parts.push(part);
+		queue.append(part);
 	}
 
-	return Buffer.concat(parts).toString();
+	return queue.take().toString();
 }
--- a/packages/upstreams/src/forward.ts
+++ b/packages/upstreams/src/forward.ts
@@ -1,10 +1,12 @@
 /** Forwards one request to one server and the response back to the client; used by both hops of a call. */
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
+import {ByteQueue} from '@ebonylead/base/byte-queue.js';
 import {type Dispatcher} from 'undici';
 import {BodyTransfer} from './body-transfer.js';
 import {type Cancellation} from './cancellation.js';
 import {isHopByHop, isMeshHeader} from './forwarded-headers.js';
+import {PartWriter} from './part-writer.js';
 import {type RequestBody} from './request-body.js';
 import {classifyStatus, isMerged, statusKinds} from './response-head.js';
 import {SilenceTimer, type SilenceOptions} from './silence-timer.js';
@@ -96,10 +98,13 @@
 	#controller: Dispatcher.DispatchController | undefined;
 	#abortReason: Error | undefined;
 	#isSent = false;
-	#isResponseStarted = false;
 	#isFinished = false;
-	#bufferedChunks: Buffer[] | undefined;
-	#bufferedBytes = 0;
+
+	/** What has arrived of a response that is not forwarded before it is complete. */
+	#buffered: ByteQueue | undefined;
+
+	/** Forwards the parts of a response that has been started. */
+	#writer: PartWriter | undefined;
 	#interimCount = 0;
 	#validation: ResponseValidation = {kind: 'final'};
 	#hasFinalHead = false;
@@ -184,7 +189,7 @@
 		}
 
 		if (!this.#isCloseDelimited(status, headers) && Number(headers['content-length'] ?? 0) <= maxBufferedResponseBytes) {
-			this.#bufferedChunks = [];
+			this.#buffered = new ByteQueue();
 			return;
 		}
 
@@ -192,28 +197,17 @@
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-		if (this.#bufferedChunks) {
+		if (this.#buffered) {
 			this.#restartSilenceTimer();
-			this.#bufferChunk(controller, this.#bufferedChunks, chunk);
-			return;
-		}
-
-		if (!this.#isResponseStarted) {
-			return;
-		}
+			this.#bufferChunk(controller, this.#buffered, chunk);
+		} else if (this.#writer) {
+			// A slow client must not count as a silent server, so the timer is stopped until the write buffer has drained.
+			if (!this.#writer.isFull) {
+				this.#restartSilenceTimer();
+			}
 
-		if (this.#options.response.write(chunk)) {
-			this.#restartSilenceTimer();
-			return;
+			this.#writer.write(chunk);
 		}
-
-		// A slow client must not count as a silent server, so the timer is stopped until the write buffer has drained.
-		this.#silenceTimer?.stop();
-		controller.pause();
-		this.#options.response.once('drain', () => {
-			this.#restartSilenceTimer();
-			controller.resume();
-		});
 	}
 
 	onResponseEnd(): void {
@@ -222,8 +216,8 @@
 			return;
 		}
 
-		if (this.#bufferedChunks && !this.#isFinished) {
-			this.#sendBuffered(this.#bufferedChunks);
+		if (this.#buffered && !this.#isFinished) {
+			this.#sendBuffered(this.#buffered);
 			return;
 		}
 
@@ -232,17 +226,18 @@
 			return;
 		}
 
-		if (!this.#isResponseStarted) {
+		if (!this.#writer) {
 			this.#end({kind: 'rejected', status: this.#status, headers: this.#headers});
 			return;
 		}
 
+		this.#writer.flush();
 		this.#options.response.end();
 		this.#end({kind: 'answered', status: this.#status, headers: this.#headers});
 	}
 
 	onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
-		if (this.#isResponseStarted) {
+		if (this.#writer) {
 			this.#end({kind: 'cut', error});
 			this.#options.response.destroy();
 		} else if (this.#validation.kind === 'not-run') {
@@ -277,37 +272,49 @@
 		this.#abort(reason);
 	};
 
-	#bufferChunk(controller: Dispatcher.DispatchController, bufferedChunks: Buffer[], chunk: Buffer): void {
-		bufferedChunks.push(chunk);
-		this.#bufferedBytes += chunk.length;
-		if (this.#bufferedBytes <= maxBufferedResponseBytes) {
+	#bufferChunk(controller: Dispatcher.DispatchController, buffered: ByteQueue, chunk: Buffer): void {
+		buffered.append(chunk);
+		if (buffered.length <= maxBufferedResponseBytes) {
 			return;
 		}
 
-		this.#bufferedChunks = undefined;
-		if (this.#startResponse(controller)) {
-			this.onResponseData(controller, Buffer.concat(bufferedChunks));
+		this.#buffered = undefined;
+		this.#startResponse(controller);
+		for (const block of buffered.takeBlocks()) {
+			this.#writer?.write(block);
 		}
 	}
 
 	/** Starts to forward a response of which a part is still to arrive. */
-	#startResponse(controller: Dispatcher.DispatchController): boolean {
+	#startResponse(controller: Dispatcher.DispatchController): void {
 		if (this.#abortReason) {
-			return false;
+			return;
 		}
 
 		if (this.#isCloseDelimited(this.#status, this.#headers)) {
 			controller.abort(new Error('the answer has neither a length nor chunks, and is too large to be held until its end'));
-			return false;
+			return;
 		}
 
-		this.#isResponseStarted = true;
+		this.#writer = this.#createWriter(controller);
 		this.#options.onForward?.();
 		this.#options.response.writeHead(this.#status, this.#buildResponseHeaders(this.#headers));
-		return true;
 	}
 
-	#sendBuffered(bufferedChunks: readonly Buffer[]): void {
+	#createWriter(controller: Dispatcher.DispatchController): PartWriter {
+		return new PartWriter(this.#options.response, {
+			onFull: () => {
+				this.#silenceTimer?.stop();
+				controller.pause();
+			},
+			onDrain: () => {
+				this.#restartSilenceTimer();
+				controller.resume();
+			},
+		});
+	}
+
+	#sendBuffered(buffered: ByteQueue): void {
 		if (this.#abortReason) {
 			this.#end({kind: 'unanswered', error: this.#abortReason});
 			return;
@@ -316,12 +323,12 @@
 		const {response, method} = this.#options;
 		const headers = this.#buildResponseHeaders(this.#headers);
 		if (method !== 'HEAD' && !bodilessStatuses.has(this.#status)) {
-			headers['content-length'] = String(this.#bufferedBytes);
+			headers['content-length'] = String(buffered.length);
 		}
 
 		this.#options.onForward?.();
 		response.writeHead(this.#status, headers);
-		response.end(Buffer.concat(bufferedChunks));
+		response.end(buffered.take());
 		this.#end({kind: 'answered', status: this.#status, headers: this.#headers});
 	}
 
--- a/packages/upstreams/src/large-body.ts
+++ b/packages/upstreams/src/large-body.ts
@@ -2,7 +2,9 @@
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
 import {PassThrough} from 'node:stream';
+import {ByteQueue} from '@ebonylead/base/byte-queue.js';
 import {computeKey} from './fingerprint.js';
+import {PartWriter} from './part-writer.js';
 import {type ReadAheadBudget} from './read-ahead-budget.js';
 
 /** Number of bytes that are sent with the headers of a request, before its server has asked for the rest. They also identify the body in fingerprints. */
@@ -18,9 +20,12 @@
 	readonly #request: IncomingMessage;
 	readonly #endListeners: Array<() => void> = [];
 
-	/** Parts after the head that were read ahead and are not sent yet. */
-	#parts: Buffer[] = [];
-	#readAheadBytes = 0;
+	/** What was read ahead after the head. */
+	readonly #readAhead = new ByteQueue();
+
+	/** Blocks of it that are still to be sent, once a copy has taken the rest. */
+	#unsent: Buffer[] = [];
+	#writer: PartWriter | undefined;
 	#budget: ReadAheadBudget | undefined;
 	#onProgress: (() => void) | undefined;
 	#takenBy: PassThrough | undefined;
@@ -48,7 +53,7 @@
 
 	/** Number of bytes that have been read from the request, until a copy takes the rest. */
 	get bytesRead(): number {
-		return this.#head.length + this.#readAheadBytes;
+		return this.#head.length + this.#readAhead.length;
 	}
 
 	/** Announced length in bytes; undefined if the body comes in chunks. */
@@ -92,13 +97,13 @@
 			copy.write(this.#head.subarray(openingBytes));
 		}
 
-		this.#sendParts(copy);
+		this.#unsent = this.#readAhead.takeBlocks();
+		this.#sendReadAhead(copy);
 	}
 
 	/** Ends a copy's use of the body. If the copy had taken the rest, what is left is discarded. */
 	release(copy: PassThrough): void {
 		if (this.#takenBy === copy) {
-			this.#request.unpipe(copy);
 			this.discard();
 		}
 	}
@@ -107,11 +112,12 @@
 	discard(): void {
 		this.#isDiscarded = true;
 		this.#stopReadingAhead();
-		for (const part of this.#parts) {
-			this.#budget?.releasePart(part);
+		for (const block of [...this.#unsent, ...this.#readAhead.takeBlocks()]) {
+			this.#budget?.releaseHeld(block.buffer.byteLength);
 		}
 
-		this.#parts = [];
+		this.#unsent = [];
+		this.#request.off('data', this.#forwardPart);
 		this.#request.resume();
 	}
 
@@ -125,9 +131,9 @@
 	}
 
 	readonly #handlePart = (part: Buffer) => {
-		this.#parts.push(part);
-		this.#readAheadBytes += part.length;
-		this.#budget!.recordPart(part);
+		const heldBefore = this.#readAhead.heldBytes;
+		this.#readAhead.append(part);
+		this.#budget!.recordHeld(this.#readAhead.heldBytes - heldBefore);
 		if (this.#budget!.isSpent) {
 			this.#stopReadingAhead();
 		}
@@ -142,14 +148,14 @@
 		}
 	}
 
-	/** Sends the parts that were read ahead, and then those that are still to come. */
-	#sendParts(copy: PassThrough): void {
-		while (!this.#isDiscarded && !copy.destroyed && this.#parts.length > 0) {
-			const part = this.#parts.shift()!;
-			this.#budget!.releasePart(part);
-			if (!copy.write(part)) {
+	/** Sends what was read ahead, and then what is still to come. */
+	#sendReadAhead(copy: PassThrough): void {
+		while (!this.#isDiscarded && !copy.destroyed && this.#unsent.length > 0) {
+			const block = this.#unsent.shift()!;
+			this.#budget!.releaseHeld(block.buffer.byteLength);
+			if (!copy.write(block)) {
 				copy.once('drain', () => {
-					this.#sendParts(copy);
+					this.#sendReadAhead(copy);
 				});
 				return;
 			}
@@ -163,11 +169,34 @@
 			copy.end();
 			this.#handleSent();
 		} else {
-			this.#request.once('end', this.#handleSent);
-			this.#request.pipe(copy);
+			this.#sendFurther(copy);
 		}
 	}
 
+	/** Sends what the client still sends, as fast as the copy is read. */
+	#sendFurther(copy: PassThrough): void {
+		const request = this.#request;
+		this.#writer = new PartWriter(copy, {
+			onFull() {
+				request.pause();
+			},
+			onDrain() {
+				request.resume();
+			},
+		});
+		request.on('data', this.#forwardPart);
+		request.once('end', () => {
+			this.#writer!.flush();
+			copy.end();
+			this.#handleSent();
+		});
+		request.resume();
+	}
+
+	readonly #forwardPart = (part: Buffer) => {
+		this.#writer!.write(part);
+	};
+
 	readonly #handleSent = () => {
 		this.#hasSentAll = true;
 		for (const listener of this.#endListeners) {
--- a/packages/upstreams/src/read-ahead-budget.ts
+++ b/packages/upstreams/src/read-ahead-budget.ts
@@ -3,10 +3,7 @@
 /** Bytes of large bodies that a node holds for all its calls together; a node has 128 MB for everything. */
 const defaultBudgetBytes = 4 * 1024 * 1024;
 
-/** Bytes that each part of a body counts in addition to its content, as a body may come in very small chunks. */
-export const partOverheadBytes = 256;
-
-/** The bytes that may still be read ahead. */
+/** The memory that may still be taken for bodies that are read ahead. */
 export class ReadAheadBudget {
 	#free: number;
 
@@ -19,13 +16,13 @@
 		return this.#free <= 0;
 	}
 
-	/** Records a part of a body that has been read; the last one may exceed the budget. */
-	recordPart(part: Uint8Array): void {
-		this.#free -= part.length + partOverheadBytes;
+	/** Records memory in bytes that is held in addition; the last part that is read may exceed the budget. */
+	recordHeld(bytes: number): void {
+		this.#free -= bytes;
 	}
 
-	/** Records that a part is no longer held. */
-	releasePart(part: Uint8Array): void {
-		this.#free += part.length + partOverheadBytes;
+	/** Records memory in bytes that is no longer held. */
+	releaseHeld(bytes: number): void {
+		this.#free += bytes;
 	}
 }
--- a/packages/upstreams/src/request-body.ts
+++ b/packages/upstreams/src/request-body.ts
@@ -1,6 +1,7 @@
 /** Reads request bodies. */
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
+import {ByteQueue} from '@ebonylead/base/byte-queue.js';
 import {type Cancellation} from './cancellation.js';
 import {LargeBody, openingBytes} from './large-body.js';
 import {hasBody} from './request-headers.js';
@@ -45,8 +46,7 @@
 	const maxBytes = isLarge ? openingBytes - 1 : maxBufferedBodyBytes;
 
 	return new Promise((resolve, reject) => {
-		const chunks: Buffer[] = [];
-		let size = 0;
+		const queue = new ByteQueue();
 		const removeListeners = () => {
 			request.off('data', handleData).off('end', handleEnd).off('error', fail).off('close', handleClose);
 			cancellation.removeListener(fail);
@@ -63,7 +63,7 @@
 		};
 
 		const handleEnd = () => {
-			finish(Buffer.concat(chunks));
+			finish(queue.take());
 		};
 
 		const handleClose = () => {
@@ -71,11 +71,10 @@
 		};
 
 		const handleData = (chunk: Buffer) => {
-			chunks.push(chunk);
-			size += chunk.length;
-			if (size > maxBytes) {
+			queue.append(chunk);
+			if (queue.length > maxBytes) {
 				request.pause();
-				finish(new LargeBody(Buffer.concat(chunks), request));
+				finish(new LargeBody(queue.take(), request));
 			}
 		};
 
--- a/packages/upstreams/src/test/forward_test.ts
+++ b/packages/upstreams/src/test/forward_test.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {createServer, type ServerResponse} from 'node:http';
 import {once} from 'node:events';
 import {type AddressInfo} from 'node:net';
@@ -6,13 +7,24 @@
 import {Cancellation} from '../cancellation.js';
 import {forwardRequest, type ForwardResult} from '../forward.js';
 
+/** Plays the events of an exchange. */
+type Play = (handler: Dispatcher.DispatchHandler, controller: Dispatcher.DispatchController) => void;
+
 /** Forwards a request to a dispatcher that plays the events of an exchange, and returns how it ended. */
-async function forwardTo(play: (handler: Dispatcher.DispatchHandler, controller: Dispatcher.DispatchController) => void): Promise<ForwardResult> {
+async function forwardTo(play: Play, onWrite: (part: Uint8Array) => void = () => undefined): Promise<ForwardResult> {
 	const results: Array<Promise<ForwardResult>> = [];
 	const server = createServer((_incoming, response: ServerResponse) => {
+		const write = response.write.bind(response) as (part: Uint8Array) => boolean;
+		response.write = (part: Uint8Array) => {
+			onWrite(part);
+			return write(part);
+		};
+
 		const dispatcher = {
 			dispatch(_options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler) {
-				const controller: Pick<Dispatcher.DispatchController, 'abort'> = {
+				const controller: Pick<Dispatcher.DispatchController, 'abort' | 'pause' | 'resume'> = {
+					pause: () => undefined,
+					resume: () => undefined,
 					abort(error) {
 						handler.onResponseError!(controller as Dispatcher.DispatchController, error);
 					},
@@ -70,4 +82,25 @@
 			t.is(result.kind, 'unanswered');
 		}
 	});
+
+	// Guards against review/11: each part of one byte was an object in the buffer of the connection.
+	it('passes parts of one byte on in few writes', async t => {
+		const partCount = 400_000;
+		let writes = 0;
+		let bytes = 0;
+		const result = await forwardTo((handler, controller) => {
+			handler.onResponseStart!(controller, 200, {'transfer-encoding': 'chunked'}, 'OK');
+			for (let count = 0; count < partCount; count++) {
+				handler.onResponseData!(controller, Buffer.alloc(1));
+			}
+
+			handler.onResponseEnd!(controller, {});
+		}, part => {
+			writes++;
+			bytes += part.length;
+		});
+		t.is(result.kind, 'answered');
+		t.is(bytes, partCount);
+		t.true(writes < 100, `${writes} writes`);
+	});
 });
