DRAIN: the leave of an upstream process also ends earlier ones with its identity

Callers saw: after a loss of power a VM's node and upstream started again, the upstream under its old id.

Cause: the row named the earlier start, and the health path confirms an id without a start. handleEnd compared starts for equality, took the end for that of a process not in use, did nothing, and it was acknowledged. The row kept the earlier start as long as the state stayed the same.

Change: an end or a leave ends the process that it names and earlier ones with its id, in the order, the local upstream, and notices of other nodes, also before the row is read. The row follows the process in use. A leave of the one in use counts while a newer one is asked.

--- a/packages/node/src/announcement-handler.ts
+++ b/packages/node/src/announcement-handler.ts
@@ -51,6 +51,12 @@
 	readonly #order = new AnnouncementOrder();
 	#newest: RecordedUpstream | undefined;
 
+	/** The upstream process that was last applied to `#localUpstream`; another one than the newest as long as that is unconfirmed. */
+	#used: RecordedUpstream | undefined;
+
+	/** The upstream process that the row of this node names, or is about to. */
+	#recorded: AnnouncementStamp | undefined;
+
 	/** Monotonic time in milliseconds at which the newest announcement arrived, or the row was read. */
 	#newestAt = 0;
 
@@ -82,9 +88,9 @@
 			return;
 		}
 
-		this.#localUpstream.applyAnnouncement(announcement);
+		this.#use({announcement, stamp});
 		if (announcement.state === 'draining' && before !== 'draining') {
-			await this.#recordLeave(stamp);
+			await this.#recordLeave({announcement, stamp});
 		}
 	}
 
@@ -99,7 +105,7 @@
 		const hasEnded = this.#order.hasEnded(stamp);
 		// A heartbeat of the process may have been taken before the row was read.
 		if (hasLeft || hasEnded) {
-			this.#localUpstream.recordLeft(buildIncarnationKey(stamp.instance, stamp.startedAt), 'the record of this node');
+			this.#localUpstream.recordLeft(buildKey(stamp), 'the record of this node');
 		}
 
 		if (!hasEnded && !this.#order.accept(stamp)) {
@@ -111,37 +117,26 @@
 		}
 
 		this.#setNewest({announcement, stamp});
+		this.#recorded = stamp;
 		const isReady = state === UpstreamState.READY && !hasEnded && !hasLeft;
 		this.#log.info({stamp, state, hasEnded}, 'Restored the upstream that an earlier process of this node recorded');
 		this.#isUnconfirmed = isReady && this.#confirmation.isNeededForRecorded(stamp);
 		if (this.#isUnconfirmed) {
 			// The row stays as it is until the upstream answers.
-			void this.#updateMember({...announcement, state: 'ready'}, 0);
+			void this.#updateMember({...announcement, state: 'ready'}, 0, this.#newest);
 			void this.#confirmNewest();
 			return;
 		}
 
-		this.#localUpstream.applyAnnouncement({...announcement, state: isReady ? 'ready' : 'draining'});
+		this.#use({announcement: {...announcement, state: isReady ? 'ready' : 'draining'}, stamp});
 	}
 
 	/** Handles the message of an upstream process that it has ended or is about to end. */
 	async handleEnd(instance: string, startedAt: number | undefined): Promise<void> {
 		this.#order.recordEnd(instance, startedAt, this.#clock.wallTime());
-		const known = this.#newest?.stamp;
-		const isOtherStart = startedAt !== undefined && known?.startedAt !== undefined && startedAt !== known.startedAt;
-		if (known?.instance !== instance || isOtherStart) {
-			this.#log.info({instance, startedAt, known}, 'Ignored the end of an upstream process that is not in use');
-			return;
+		if (!await this.#applyLeave(instance, startedAt)) {
+			this.#log.info({instance, startedAt, known: this.#newest?.stamp}, 'Ignored the end of an upstream process that is not in use');
 		}
-
-		this.#isUnconfirmed = false;
-		if (this.#localUpstream.instance !== instance) {
-			// It was not confirmed yet; its row must say that it leaves all the same.
-			this.#localUpstream.applyAnnouncement({...this.#newest!.announcement, state: 'draining'});
-		}
-
-		this.#localUpstream.drain();
-		await this.#recordLeave(known);
 	}
 
 	/** Handles that a version of the rules was applied: it may name the path on which an unconfirmed upstream can be asked. */
@@ -154,10 +149,52 @@
 	/** Writes each change of the upstream's state to this node's member record. */
 	async run(): Promise<void> {
 		await this.#localUpstream.status.observeChanges().skip(1).observe(status => {
-			void this.#updateMember(status, 0);
+			void this.#updateMember(status, 0, this.#used);
 		});
 	}
 
+	/**
+	 * Applies a leave to the processes that it ends: the one that it names, and
+	 * earlier ones with its identity. Returns whether this node knows one of them.
+	 */
+	async #applyLeave(instance: string, startedAt: number | undefined): Promise<boolean> {
+		const {newest, used} = {newest: this.#newest, used: this.#used};
+		if (newest && isEndedBy(newest.stamp, instance, startedAt)) {
+			const leaving = buildLeaving(newest, startedAt);
+			this.#isUnconfirmed = false;
+			this.#setNewest(leaving);
+			if (this.#localUpstream.instance === instance) {
+				this.#localUpstream.drain();
+				this.#used = leaving;
+			} else {
+				// It was not confirmed yet; its row must say that it leaves all the same.
+				this.#use(leaving);
+			}
+
+			this.#localUpstream.recordLeft(buildKey(leaving.stamp), 'the upstream');
+			await this.#recordLeave(leaving);
+			return true;
+		}
+
+		// While a newer process is unconfirmed, the one before it is still in use.
+		if (used && isEndedBy(used.stamp, instance, startedAt)) {
+			this.#localUpstream.recordLeft(buildKey(buildLeaving(used, startedAt).stamp), 'the upstream');
+			await this.#recordLeave(buildLeaving(used, startedAt));
+			return true;
+		}
+
+		return false;
+	}
+
+	/** Applies the announcement of a process to the local upstream. The row follows the process, as the next process of this node compares leaves with it. */
+	#use(upstream: RecordedUpstream): void {
+		this.#used = upstream;
+		this.#localUpstream.applyAnnouncement(upstream.announcement);
+		if (!isSameProcess(upstream.stamp, this.#recorded)) {
+			void this.#updateMember(this.#localUpstream.status.value, 0, upstream);
+		}
+	}
+
 	#setNewest(newest: RecordedUpstream): void {
 		this.#newest = newest;
 		this.#newestAt = this.#clock.now();
@@ -174,7 +211,7 @@
 
 		if (condition === upstreamConditions.ready) {
 			this.#isUnconfirmed = false;
-			this.#localUpstream.applyAnnouncement(announcement);
+			this.#use({announcement, stamp});
 		} else if (condition === upstreamConditions.notReady) {
 			await this.#recordUnconfirmed(announcement);
 		}
@@ -189,32 +226,47 @@
 	async #recordUnconfirmed(announcement: UpstreamAnnouncement): Promise<void> {
 		const isAbsent = this.#localUpstream.status.value.state === 'absent';
 		if (isAbsent && this.#directory.self.upstreamState !== UpstreamState.ABSENT) {
-			await this.#updateMember({...announcement, state: 'absent'}, 0);
+			await this.#updateMember({...announcement, state: 'absent'}, 0, this.#newest);
 		}
 	}
 
-	/** Acts on the leave of the newest process although it is out of order: a leave is final. */
+	/** Acts on a leave although it is out of order: a leave is final. */
 	async #handleLateLeave({announcement, stamp}: StampedAnnouncement): Promise<void> {
-		const key = buildIncarnationKey(stamp.instance, stamp.startedAt);
-		if (announcement.state === 'draining' && isSameProcess(stamp, this.#newest?.stamp) && !this.#localUpstream.hasProcessLeft(key)) {
-			this.#localUpstream.recordLeft(key, 'an announcement');
-			await this.#recordLeave(stamp);
+		// One without a start time is of another writer where the process has told its own.
+		const isOfProcess = stamp.startedAt !== undefined || isSameProcess(stamp, this.#newest?.stamp);
+		if (announcement.state === 'draining' && isOfProcess && !this.#localUpstream.hasProcessLeft(buildKey(stamp))) {
+			await this.#applyLeave(stamp.instance, stamp.startedAt);
 		}
 	}
 
 	/** Writes to the row of this node that the upstream leaves, if the store answers in time. */
-	async #recordLeave(stamp: AnnouncementStamp): Promise<void> {
-		const isWritten = await this.#updateMember(this.#localUpstream.status.value, leaveWriteTimeoutMs);
-		this.#log.info({stamp, isWritten}, 'Acknowledging that the upstream leaves');
+	async #recordLeave(upstream: RecordedUpstream): Promise<void> {
+		const isWritten = await this.#updateMember(this.#localUpstream.status.value, leaveWriteTimeoutMs, upstream);
+		this.#log.info({stamp: upstream.stamp, isWritten}, 'Acknowledging that the upstream leaves');
 	}
 
-	async #updateMember({state, service, slots, version}: UpstreamStatus, timeout: number): Promise<boolean> {
-		const hasLeft = this.#newest !== undefined && this.#localUpstream.hasProcessLeft(buildIncarnationKey(this.#newest.stamp.instance, this.#newest.stamp.startedAt));
+	async #updateMember({state, service, slots, version}: UpstreamStatus, timeout: number, upstream: RecordedUpstream | undefined): Promise<boolean> {
+		this.#recorded = upstream?.stamp;
+		const hasLeft = upstream !== undefined && this.#localUpstream.hasProcessLeft(buildKey(upstream.stamp));
 		const changes = {upstreamState: upstreamStates[state], service, slots};
-		return this.#directory.update(version === undefined ? changes : {...changes, upstreamVersion: version}, timeout, this.#newest && {...this.#newest, hasLeft});
+		return this.#directory.update(version === undefined ? changes : {...changes, upstreamVersion: version}, timeout, upstream && {...upstream, hasLeft});
 	}
 }
 
+/** Returns whether a leave ends a process: it names the process, or a later one with the same identity, or no start time. */
+function isEndedBy(known: AnnouncementStamp, instance: string, startedAt: number | undefined): boolean {
+	return known.instance === instance && (startedAt === undefined || known.startedAt === undefined || startedAt >= known.startedAt);
+}
+
+/** Builds the record of the process that leaves from a known one with its identity. */
+function buildLeaving({announcement, stamp}: RecordedUpstream, startedAt = stamp.startedAt): RecordedUpstream {
+	return {announcement: {...announcement, startedAt, state: 'draining'}, stamp: {...stamp, startedAt}};
+}
+
+function buildKey({instance, startedAt}: AnnouncementStamp): string {
+	return buildIncarnationKey(instance, startedAt);
+}
+
 function isSameProcess(stamp: AnnouncementStamp, other: AnnouncementStamp | undefined): boolean {
 	return stamp.instance === other?.instance && stamp.startedAt === other.startedAt;
 }
--- a/packages/node/src/test/announcement-handler_test.ts
+++ b/packages/node/src/test/announcement-handler_test.ts
@@ -100,9 +100,11 @@
 
 /** An upstream that answers a question when the test tells it to. */
 class PendingCheck implements UpstreamCheck {
+	count = 0;
 	answer: (condition: UpstreamCondition) => void = () => undefined;
 
 	async check(): Promise<UpstreamCondition> {
+		this.count++;
 		return new Promise(resolve => {
 			this.answer = resolve;
 		});
@@ -381,4 +383,83 @@
 			t.is(localUpstream.status.value.state, 'ready');
 		});
 	});
+
+	// Guards against review/12: the end of a process that had started again under its identity was acknowledged and ignored.
+	it('of the end of a later process with the same identity end the earlier one, also before the row is read, and write its start', async t => {
+		for (const isBeforeRow of [true, false]) {
+			const store = new FakeRowStore();
+			await writeReadyUpstream(store);
+			store.isDown = isBeforeRow;
+			await withProcess(store, async (handler, localUpstream) => {
+				await handler.handleEnd('i', 2);
+				t.is(localUpstream.status.value.state, 'draining');
+				await handler.handleAnnouncement(buildAnnouncement('ready', 3, 2));
+				t.is(localUpstream.status.value.state, 'draining');
+				await handler.handleAnnouncement(buildAnnouncement('ready', 1, 3));
+				t.is(localUpstream.status.value.state, 'ready');
+			}, async handler => {
+				if (isBeforeRow) {
+					await handler.handleEnd('i', 2);
+				}
+
+				store.isDown = false;
+			});
+		}
+	});
+
+	it('of another process with the same identity change the row once, although the state stays the same', async t => {
+		const store = new FakeRowStore();
+		await withProcess(store, async handler => {
+			await handler.handleAnnouncement(buildAnnouncement('ready', 1, 1));
+			await waitUntil(() => store.findValue('members', 'n')?.includes('"upstreamState":1') ?? false, 'write the upstream');
+			await sleep(settleMs);
+			const {revision} = store.createCopy();
+			for (const sequence of [1, 2, 3]) {
+				await handler.handleAnnouncement(buildAnnouncement('ready', sequence, 2));
+				await sleep(settleMs);
+			}
+
+			t.true(store.findValue('members', 'n')!.includes('"startedAt":2'));
+			t.is(store.createCopy().revision, revision + 1);
+		});
+	});
+
+	// Guards against review/8: such a heartbeat took the place of the upstream, whose leave was then acknowledged and ignored.
+	it('of another writer, with another identity and no start time, do not outdate its heartbeats or its leave', async t => {
+		await withProcess(new FakeRowStore(), async (handler, localUpstream) => {
+			await handler.handleAnnouncement(buildAnnouncement('ready', 1));
+			for (const state of ['ready', 'draining'] as const) {
+				const {announcement} = buildAnnouncement(state, 9);
+				await handler.handleAnnouncement({announcement: {...announcement, instance: 'x', startedAt: undefined}, stamp: {instance: 'x', startedAt: undefined, sequence: 9}});
+				await handler.handleAnnouncement({announcement: {...announcement, startedAt: undefined}, stamp: {instance: 'i', startedAt: undefined, sequence: 9}});
+				t.is(localUpstream.status.value.state, 'ready');
+			}
+
+			t.is(localUpstream.instance, 'i');
+			await handler.handleEnd('i', 1);
+			t.is(localUpstream.status.value.state, 'draining');
+		});
+	});
+
+	it('of a leave count for the process in use while a newer one is being asked', async t => {
+		for (const leave of [
+			async (handler: AnnouncementHandler) => handler.handleEnd('i', 1),
+			async (handler: AnnouncementHandler) => handler.handleAnnouncement(buildAnnouncement('draining', 2)),
+		]) {
+			const store = new FakeRowStore();
+			await writeReadyUpstream(store);
+			const check = new PendingCheck();
+			await withProcess(store, async (handler, localUpstream) => {
+				await waitUntil(() => check.count === 1, 'ask');
+				check.answer(upstreamConditions.ready);
+				await waitUntil(() => localUpstream.status.value.state === 'ready', 'use the upstream');
+				const {announcement} = buildAnnouncement('ready', 1, 2);
+				await handler.handleAnnouncement({announcement: {...announcement, instance: 'j'}, stamp: {instance: 'j', startedAt: 2, sequence: 1}});
+				t.is(localUpstream.instance, 'i');
+				await leave(handler);
+				t.is(localUpstream.status.value.state, 'draining');
+				t.true(store.findValue('members', 'n')!.includes('"hasLeft":true'));
+			}, undefined, check);
+		}
+	});
 });
--- a/packages/upstreams/src/announcement-order.ts
+++ b/packages/upstreams/src/announcement-order.ts
@@ -12,24 +12,23 @@
 	readonly sequence: number;
 };
 
-/** Maximum number of ended processes that are remembered; far more than can have announcements in transit. */
-const maxEndedProcesses = 64;
+/** Maximum number of identities of which ended processes are remembered; far more than can have announcements in transit. */
+const maxEndedInstances = 64;
 
 /**
  * Decides whether an announcement is newer than all accepted ones.
  *
  * An announcement may be delayed and arrive after its sender has ended and
  * another process has started at the same address. A process may reuse the
- * identity of its predecessor; then the start time distinguishes the two. Where
- * a process tells its start time, an announcement without one is of another
- * writer, and not accepted.
+ * identity of its predecessor; then the start time distinguishes the two, and the
+ * end of one shows that all earlier ones have ended. Where a process tells its
+ * start time, an announcement without one is of another writer, and not accepted.
  */
 export class AnnouncementOrder {
 	#newest: AnnouncementStamp | undefined;
-	readonly #endedProcesses = new Set<string>();
 
-	/** Identities of processes that ended without telling when they started, each with the time of day in milliseconds at which they did. A process that started later is another one. */
-	readonly #endedInstances = new Map<string, number>();
+	/** For each identity, the start time in milliseconds up to which its processes have ended; those without a start time have ended too. */
+	readonly #endedUpTo = new Map<string, number>();
 
 	/** Stamp of the newest accepted announcement. */
 	get newest(): AnnouncementStamp | undefined {
@@ -42,66 +41,49 @@
 			return false;
 		}
 
-		if (this.#newest && buildProcessKey(this.#newest) !== buildProcessKey(stamp)) {
-			this.#addEndedProcess(buildProcessKey(this.#newest));
+		if (this.#newest && (this.#newest.instance !== stamp.instance || this.#newest.startedAt !== stamp.startedAt)) {
+			this.#addEnded(this.#newest.instance, this.#newest.startedAt ?? Number.NEGATIVE_INFINITY);
 		}
 
 		this.#newest = stamp;
 		return true;
 	}
 
-	/** Returns whether the process of an announcement has deregistered, or was followed by another one. */
-	hasEnded(stamp: AnnouncementStamp): boolean {
-		const endedAt = this.#endedInstances.get(stamp.instance);
-		return this.#endedProcesses.has(buildProcessKey(stamp))
-			|| (endedAt !== undefined && (stamp.startedAt === undefined || stamp.startedAt <= endedAt));
+	/** Returns whether the process of an announcement, or a later one with its identity, has deregistered, or was followed by another one. */
+	hasEnded({instance, startedAt}: AnnouncementStamp): boolean {
+		const endedUpTo = this.#endedUpTo.get(instance);
+		return endedUpTo !== undefined && (startedAt === undefined || startedAt <= endedUpTo);
 	}
 
 	/**
 	 * Records that a process has deregistered; its late announcements are not accepted.
 	 *
 	 * @param startedAt Start time of the process; undefined if the message did not tell it.
-	 * @param endedAt Time of day in milliseconds at which the message arrived.
+	 * @param endedAt Time of day in milliseconds at which the message arrived. A process that started later is another one.
 	 */
 	recordEnd(instance: string, startedAt: number | undefined, endedAt: number): void {
 		const knownStart = startedAt ?? (this.#newest?.instance === instance ? this.#newest.startedAt : undefined);
-		if (knownStart === undefined) {
-			this.#endedInstances.set(instance, endedAt);
-			removeOldest(this.#endedInstances);
-		} else {
-			this.#addEndedProcess(buildProcessKey({instance, startedAt: knownStart, sequence: 0}));
-		}
-	}
-
-	#addEndedProcess(key: string): void {
-		this.#endedProcesses.add(key);
-		removeOldest(this.#endedProcesses);
+		this.#addEnded(instance, knownStart ?? endedAt);
 	}
-}
 
-/** Removes the entries that were added first, down to the maximum. */
-function removeOldest(ended: Set<string> | Map<string, number>): void {
-	for (const oldest of ended.keys()) {
-		if (ended.size <= maxEndedProcesses) {
-			return;
+	#addEnded(instance: string, upTo: number): void {
+		const before = this.#endedUpTo.get(instance) ?? Number.NEGATIVE_INFINITY;
+		this.#endedUpTo.delete(instance);
+		this.#endedUpTo.set(instance, Math.max(before, upTo));
+		if (this.#endedUpTo.size > maxEndedInstances) {
+			this.#endedUpTo.delete(this.#endedUpTo.keys().next().value!);
 		}
-
-		ended.delete(oldest);
 	}
 }
 
-function buildProcessKey({instance, startedAt}: AnnouncementStamp): string {
-	return `${instance} ${startedAt ?? ''}`;
-}
-
 function isNewer(stamp: AnnouncementStamp, newest: AnnouncementStamp): boolean {
-	if (stamp.startedAt !== undefined && newest.startedAt !== undefined && stamp.startedAt !== newest.startedAt) {
-		return stamp.startedAt > newest.startedAt;
+	if (stamp.startedAt === newest.startedAt) {
+		return stamp.instance !== newest.instance || stamp.sequence > newest.sequence;
 	}
 
-	if (stamp.instance === newest.instance && stamp.startedAt !== newest.startedAt) {
+	if (stamp.startedAt === undefined || newest.startedAt === undefined) {
 		return newest.startedAt === undefined;
 	}
 
-	return stamp.instance !== newest.instance || stamp.sequence > newest.sequence;
+	return stamp.startedAt > newest.startedAt;
 }
--- a/packages/upstreams/src/local-upstream.ts
+++ b/packages/upstreams/src/local-upstream.ts
@@ -6,7 +6,9 @@
 import {AdmissionControl} from './admission.js';
 import {isConnectionRefused} from './connection-probe.js';
 import {NamedLimit} from './named-limit.js';
-import {buildIncarnationKey, type CarriedNotice, type UpstreamNotice} from './upstream-notice.js';
+import {
+	buildIncarnationKey, isSameOrLaterProcess, type CarriedNotice, type UpstreamNotice,
+} from './upstream-notice.js';
 import {type UpstreamAnnouncement} from './upstreams.js';
 
 /** Whether the upstream accepts calls, and for which service with how many slots. */
@@ -177,7 +179,7 @@
 		return this.#left.has(incarnation);
 	}
 
-	/** Records that a process of the upstream leaves or has left; the source is for the log. */
+	/** Records that a process of the upstream leaves or has left, and so have earlier ones with its identity; the source is for the log. */
 	recordLeft(incarnation: string, source: string): void {
 		this.#handleLeave(incarnation, source);
 	}
@@ -269,8 +271,13 @@
 
 	#handleLeave(incarnation: string, source: string): void {
 		this.#addLeft(incarnation);
-		if (incarnation === this.incarnation && this.status.value.state === 'ready') {
-			this.#log.info({instance: this.instance, source}, 'The upstream leaves');
+		if (!isSameOrLaterProcess(incarnation, this.incarnation)) {
+			return;
+		}
+
+		this.#addLeft(this.incarnation);
+		if (this.status.value.state === 'ready') {
+			this.#log.info({incarnation, known: this.incarnation, source}, 'The upstream leaves');
 			this.#setState('draining');
 		}
 	}
--- a/packages/upstreams/src/test/announcement-order_test.ts
+++ b/packages/upstreams/src/test/announcement-order_test.ts
@@ -48,6 +48,23 @@
 			t.false(other.accept({...first, startedAt: undefined, sequence: 10}));
 		});
 
+		it('does not accept another one without a start time if the present one has told its own', t => {
+			const order = new AnnouncementOrder();
+			order.accept(first);
+			t.false(order.accept({instance: 'i-2', startedAt: undefined, sequence: 9}));
+			t.true(order.accept({...first, sequence: 5}));
+		});
+
+		it('accepts none of an earlier one after the later one with its identity has deregistered, and all of one that starts after it', t => {
+			const order = new AnnouncementOrder();
+			order.recordEnd('i-1', 2000, 5000);
+			t.false(order.accept(first));
+			t.false(order.accept({...first, startedAt: 2000, sequence: 9}));
+			t.true(order.accept({...first, startedAt: 2001, sequence: 1}));
+			order.recordEnd('i-1', 1000, 6000);
+			t.true(order.accept({...first, startedAt: 2001, sequence: 2}));
+		});
+
 		it('accepts the other one if no start time is announced', t => {
 			const order = new AnnouncementOrder();
 			order.accept({...first, startedAt: undefined});
--- a/packages/upstreams/src/upstream-notice.ts
+++ b/packages/upstreams/src/upstream-notice.ts
@@ -30,6 +30,23 @@
 	return instance === undefined || instance === '' ? '' : `${instance} ${startedAt ?? ''}`;
 }
 
+/**
+ * Returns whether a key is of the same upstream process as another one, or of a
+ * later process with the same identity, also if the start of the other is not known.
+ * The leave of the first then also ends the other.
+ */
+export function isSameOrLaterProcess(key: string, other: string): boolean {
+	const [instance, startedAt] = splitIncarnationKey(key);
+	const [otherInstance, otherStartedAt] = splitIncarnationKey(other);
+	return instance !== '' && instance === otherInstance
+		&& (otherStartedAt === '' || (startedAt !== '' && Number(startedAt) >= Number(otherStartedAt)));
+}
+
+function splitIncarnationKey(key: string): readonly [instance: string, startedAt: string] {
+	const end = key.lastIndexOf(' ');
+	return [key.slice(0, Math.max(0, end)), key.slice(end + 1)];
+}
+
 /** Parses the value of a limit header: a finite number from 0. Returns undefined for anything else. */
 export function parseRateLimit(text: string | string[] | undefined): number | undefined {
 	const value = typeof text === 'string' && text.trim() !== '' ? Number(text) : Number.NaN;
