CONFIG: try a call where only the stale mean of its route speaks against it

Cause: admission refuses by the mean duration of the route, or of all routes where it has none. Only admitted calls change the mean, so a mean above the time of the calls refuses all that could correct it.

Change: where no call of a route has started or ended for 1 s, or ever, and the call is in time but for the mean, one runs as a trial. A faster trial moves the mean half of the way and the next may follow; a slower, refused or cancelled one waits 1 s. One at a time for each route, at most an eighth of the slots for all. Queued trials are exempt from refusals by the mean. Why not "no refusal while a slot is free": docs/design/overload.md.

--- a/packages/upstreams/src/admission-queue.ts
+++ b/packages/upstreams/src/admission-queue.ts
@@ -11,6 +11,9 @@
 
 	/** Whether the call was expected to miss its objective when it arrived; it gets only slots that would otherwise be idle. */
 	readonly isBestEffort: boolean;
+
+	/** Whether the call is a trial, which runs whatever the mean duration of its route is. */
+	readonly isTrial: boolean;
 	readonly resolve: (admission: Admission) => void;
 };
 
--- a/packages/upstreams/src/admission-request.ts
+++ b/packages/upstreams/src/admission-request.ts
@@ -37,6 +37,9 @@
 	= | {
 		readonly kind: 'admitted';
 
+		/** Whether the call runs although the mean duration of its route says that it won't end in time. */
+		readonly isTrial: boolean;
+
 		/** Releases the slot. `isAccepted` is false if the upstream refused the call without running it; true if not given. */
 		readonly release: (isAccepted?: boolean) => void;
 	}
--- a/packages/upstreams/src/admission.ts
+++ b/packages/upstreams/src/admission.ts
@@ -2,11 +2,13 @@
 import {type Clock} from '@ebonylead/base/base.js';
 import {Acceptance} from './acceptance.js';
 import {buildAdmissionRefusal, type AdmissionRefusalCause} from './admission-refusals.js';
+import {AdmissionPolicy, minRefusalMarginMs} from './admission-policy.js';
 import {AdmissionQueue, type QueuedCall} from './admission-queue.js';
 import {type Admission, type AdmissionRequest} from './admission-request.js';
 import {Contention} from './contention.js';
 import {type QueueShares} from './queue-shares.js';
 import {RateLimit} from './rate-limit.js';
+import {RouteTrials} from './route-trials.js';
 import {RunningCalls} from './running-calls.js';
 import {PriorityUsage, ServiceTimes} from './service-times.js';
 import {isNestedCall} from './nested-calls.js';
@@ -19,18 +21,9 @@
 /** Maximum number of queued calls per slot. */
 const maxQueuedPerSlot = 4;
 
-/** Maximum number of queued calls per slot that are expected to miss their objective; they fill slots that would be idle. */
-const maxBestEffortPerSlot = 0.25;
-
 /** Priority of nested calls: above all others, as each holds a slot only briefly while the call that it was made for waits. */
 const nestedCallPriority = -1;
 
-/** Share of the slots that calls of lower priorities use from which on they count as getting slots. */
-const maxLowerUsage = 0.05;
-
-/** Minimum time before its deadline at which a queued call is refused, so that the refusal arrives in time. */
-const minRefusalMarginMs = 20;
-
 /** Interval between two checks of the deadlines of queued calls. */
 const sweepIntervalMs = 10;
 
@@ -71,7 +64,8 @@
 	readonly #rateLimit: RateLimit;
 	readonly #estimator: WaitEstimator;
 	readonly #acceptance: Acceptance;
-	readonly #contention: Contention;
+	readonly #trials: RouteTrials;
+	readonly #policy: AdmissionPolicy;
 	#slots: number;
 	#isClosed = false;
 	#isSweeping = false;
@@ -82,7 +76,10 @@
 		this.#slots = slots;
 		this.#rateLimit = new RateLimit(clock);
 		this.#acceptance = new Acceptance(clock);
-		this.#contention = new Contention(clock);
+		this.#trials = new RouteTrials(clock);
+		this.#policy = new AdmissionPolicy({
+			clock, queue: this.#queue, serviceTimes: this.#serviceTimes, priorityUsage: this.#priorityUsage, contention: new Contention(clock), rateLimit: this.#rateLimit,
+		});
 		this.#estimator = new WaitEstimator({
 			clock, queue: this.#queue, running: this.#running, serviceTimes: this.#serviceTimes, priorityUsage: this.#priorityUsage, rateLimit: this.#rateLimit,
 		});
@@ -179,47 +176,24 @@
 		const isNested = this.#isNested(request);
 		const priority = isNested ? nestedCallPriority : request.priority;
 		const isImmediate = this.#queue.length === 0 && this.#canStart(request);
-		const expectedEnd = this.#clock.now() + (isImmediate ? 0 : this.#estimator.estimateWait(request, priority, this.#slots)) + this.#serviceTimes.estimate(request.route);
-		const isLimited = !isImmediate && this.#estimator.isWaitForRate(request, priority, this.#slots);
-		if (expectedEnd > request.deadline) {
-			return this.#buildRefusal(request, isLimited ? refusalCauses.rateLimit : refusalCauses.deadline);
-		}
-
-		const isBestEffort = expectedEnd > request.objective && !isNested;
-		if (isBestEffort && this.#mustGiveWay(request)) {
-			return this.#buildRefusal(request, isLimited ? refusalCauses.rateLimit : refusalCauses.objective);
-		}
-
-		if (isImmediate) {
-			return this.#startCall(request, priority);
-		}
-
-		if (isBestEffort && this.#queue.bestEffortCount >= this.#maxBestEffort) {
-			return this.#buildRefusal(request, isLimited ? refusalCauses.rateLimit : refusalCauses.objective);
-		}
-
-		return this.#waitForSlot(request, priority, isBestEffort);
-	}
-
-	/** Number of queued calls that may be expected to miss their objective; none where a limit leaves no token idle for them. */
-	get #maxBestEffort(): number {
-		return this.#rateLimit.rate === undefined ? this.#slots * maxBestEffortPerSlot : 0;
-	}
-
-	/** Returns whether a late call gives way to calls that could be in time, as it shows itself or others have shown lately. */
-	#mustGiveWay(request: AdmissionRequest): boolean {
-		const {route, objective, priority} = request;
-		// One above its share waits for the calls within theirs, and these give way to none.
-		if (this.#clock.now() + this.#serviceTimes.estimate(route) <= objective && !this.#queue.isNewAboveShare(request)) {
-			this.#contention.record(priority);
+		const start = this.#clock.now() + (isImmediate ? 0 : this.#estimator.estimateWait(request, priority, this.#slots));
+		const expectedEnd = start + this.#serviceTimes.estimate(request.route);
+		const run = {
+			start, isImmediate, isNested, slots: this.#slots,
+		};
+		const cause = this.#policy.findRefusalCause(request, expectedEnd, run);
+		const isTrial = cause !== undefined && this.#policy.canTry(request, run) && this.#trials.claim(request.route, this.#slots);
+		if (cause !== undefined && !isTrial) {
+			const isLimited = !isImmediate && this.#estimator.isWaitForRate(request, priority, this.#slots);
+			return this.#buildRefusal(request, isLimited ? refusalCauses.rateLimit : cause);
 		}
 
-		return this.#isContended(priority);
-	}
-
-	/** Returns whether calls in time lack slots, and the slot of a late call would go to these: where less urgent calls get slots, it would go to them. */
-	#isContended(priority: number): boolean {
-		return this.#contention.isPresent(priority) && this.#priorityUsage.computeLowerPriorityUsage(priority, this.#clock.now()) < this.#slots * maxLowerUsage;
+		const isBestEffort = !isNested && (isTrial ? start : expectedEnd) > request.objective;
+		return isImmediate
+			? this.#startCall(request, priority, isTrial)
+			: this.#waitForSlot({
+				request, priority, isTrial, isBestEffort,
+			});
 	}
 
 	#canStart(request: AdmissionRequest): boolean {
@@ -230,10 +204,14 @@
 		return this.#rateLimit.computeWait() === 0 && this.#running.count < this.#slots && this.#running.countRoute(request.route) < (request.routeSlots ?? this.#slots);
 	}
 
-	#startCall(request: AdmissionRequest, priority: number): Admission {
+	#startCall(request: AdmissionRequest, priority: number, isTrial: boolean): Admission {
 		const call = {route: request.route, startedAt: this.#clock.now(), isExclusive: request.isExclusive ?? false};
 		let isReleased = false;
 		this.#running.add(call);
+		if (!isTrial) {
+			this.#trials.recordCall(request.route);
+		}
+
 		this.#rateLimit.recordStart();
 		this.#queue.recordStart(request, this.#serviceTimes.estimate(request.route));
 		const release = (isAccepted = true) => {
@@ -243,24 +221,39 @@
 
 			isReleased = true;
 			const now = this.#clock.now();
+			const duration = now - call.startedAt;
 			this.#running.remove(call);
 			this.#acceptance.record(isAccepted);
+			this.#recordDuration(request, duration, {isTrial, isAccepted});
 			if (isAccepted) {
-				this.#serviceTimes.record(call.route, now - call.startedAt);
-				this.#priorityUsage.record(priority, now - call.startedAt, now);
+				this.#priorityUsage.record(priority, duration, now);
 			}
 
 			this.#startQueued();
 		};
 
-		return {kind: 'admitted', release};
+		return {kind: 'admitted', isTrial, release};
 	}
 
-	async #waitForSlot(request: AdmissionRequest, priority: number, isBestEffort: boolean): Promise<Admission> {
+	/** Records how long a call ran, if the upstream accepted it. A trial that was cancelled shows only that it takes at least as long. */
+	#recordDuration({route, cancellation}: AdmissionRequest, duration: number, {isTrial, isAccepted}: {readonly isTrial: boolean; readonly isAccepted: boolean}): void {
+		const isFaster = duration < this.#serviceTimes.estimate(route);
+		const isCut = isTrial && cancellation.isCancelled;
+		if (isAccepted && !(isCut && isFaster)) {
+			this.#serviceTimes.record(route, duration, isTrial);
+		}
+
+		if (isTrial) {
+			this.#trials.recordEnd(route, !isAccepted || isCut || !isFaster);
+		} else {
+			this.#trials.recordCall(route);
+		}
+	}
+
+	async #waitForSlot(call: Omit<QueuedCall, 'resolve'>): Promise<Admission> {
 		return new Promise(resolve => {
-			const queued: QueuedCall = {
-				request, priority, isBestEffort, resolve,
-			};
+			const queued: QueuedCall = {...call, resolve};
+			const {request} = call;
 			this.#queue.add(queued);
 			if (this.#queue.length > this.#slots * maxQueuedPerSlot) {
 				this.#refuse(this.#queue.findRefused()!, refusalCauses.queueFull);
@@ -294,7 +287,7 @@
 
 	#refuseNearDeadline(): void {
 		const now = this.#clock.now();
-		const near = this.#queue.listAll().filter(({request: {deadline, route}}) => deadline < now + Math.max(minRefusalMarginMs, this.#serviceTimes.estimate(route)));
+		const near = this.#queue.listAll().filter(queued => queued.request.deadline < now + Math.max(minRefusalMarginMs, this.#estimateDuration(queued)));
 		for (const queued of near) {
 			this.#queue.remove(queued);
 		}
@@ -336,7 +329,11 @@
 
 	/** Refuses calls that were removed from the queue. */
 	#refuseAll(removed: readonly QueuedCall[], cause: AdmissionRefusalCause): void {
-		for (const {request, resolve} of removed) {
+		for (const {request, isTrial, resolve} of removed) {
+			if (isTrial) {
+				this.#trials.recordEnd(request.route, false);
+			}
+
 			resolve(this.#buildRefusal(request, cause));
 		}
 
@@ -355,12 +352,12 @@
 			const {request} = next;
 			const usagePriority = this.#queue.recordTurn(next);
 			this.#queue.remove(next);
-			if (this.#clock.now() + this.#serviceTimes.estimate(request.route) > request.deadline) {
-				next.resolve(this.#buildRefusal(request, refusalCauses.deadlineNear));
-			} else if (next.priority !== nestedCallPriority && this.#isExpectedLate(next) && this.#isContended(request.priority)) {
-				next.resolve(this.#buildRefusal(request, refusalCauses.objective));
+			if (this.#clock.now() + this.#estimateDuration(next) > request.deadline) {
+				this.#refuseAll([next], refusalCauses.deadlineNear);
+			} else if (next.priority !== nestedCallPriority && this.#isExpectedLate(next) && this.#policy.isContended(request.priority, this.#slots)) {
+				this.#refuseAll([next], refusalCauses.objective);
 			} else {
-				next.resolve(this.#startCall(request, usagePriority));
+				next.resolve(this.#startCall(request, usagePriority, next.isTrial));
 			}
 		}
 	}
@@ -373,8 +370,13 @@
 	}
 
 	/** Whether the call is expected to miss its objective. */
-	#isExpectedLate({request, isBestEffort}: QueuedCall): boolean {
-		return isBestEffort || this.#clock.now() + this.#serviceTimes.estimate(request.route) > request.objective;
+	#isExpectedLate(queued: QueuedCall): boolean {
+		return queued.isBestEffort || this.#clock.now() + this.#estimateDuration(queued) > queued.request.objective;
+	}
+
+	/** Returns the mean duration of a call's route in milliseconds; 0 for a trial, which runs whatever the mean is. */
+	#estimateDuration({request, isTrial}: QueuedCall): number {
+		return isTrial ? 0 : this.#serviceTimes.estimate(request.route);
 	}
 
 	/** Whether only the deadline of the call is considered. */
@@ -391,7 +393,7 @@
 
 	#buildRefusal(request: AdmissionRequest, cause: AdmissionRefusalCause): Admission {
 		const wait = this.#estimator.estimateWait(request, this.#isNested(request) ? nestedCallPriority : request.priority, this.#slots);
-		const state = {isAboveShare: this.#queue.isNewAboveShare(request), isContended: this.#isContended(request.priority)};
+		const state = {isAboveShare: this.#queue.isNewAboveShare(request), isContended: this.#policy.isContended(request.priority, this.#slots)};
 		return {kind: 'refused', refusal: buildAdmissionRefusal(cause, Math.max(minRetryAfterMs, Math.ceil(wait)), state)};
 	}
 }
--- a/packages/upstreams/src/service-times.ts
+++ b/packages/upstreams/src/service-times.ts
@@ -3,6 +3,9 @@
 /** Minimum weight of a new sample in the moving average; the first samples weigh more. */
 const minSampleWeight = 0.1;
 
+/** Minimum weight of the sample of a trial that was faster than the mean of its route: it shows that the mean is of another time. */
+const minTrialWeight = 0.5;
+
 /** Maximum number of routes with their own mean; the least recently used one is removed. */
 const maxRoutes = 512;
 
@@ -39,13 +42,18 @@
 		return this.#routes.get(route)?.value ?? this.#overall.value;
 	}
 
-	/** Records a call that ended, with its duration in milliseconds. */
-	record(route: string, duration: number): void {
+	/**
+	 * Records a call that ended.
+	 *
+	 * @param duration Duration in milliseconds.
+	 * @param isTrial Whether the call ran although the mean said that it would not end in time.
+	 */
+	record(route: string, duration: number, isTrial = false): void {
 		const routeMean = this.#routes.get(route) ?? {value: 0, count: 0};
 		this.#routes.delete(route);
 		this.#routes.set(route, routeMean);
-		addSample(routeMean, duration);
-		addSample(this.#overall, duration);
+		addSample(routeMean, duration, isTrial && duration < routeMean.value ? minTrialWeight : minSampleWeight);
+		addSample(this.#overall, duration, minSampleWeight);
 		if (this.#routes.size > maxRoutes) {
 			this.#routes.delete(this.#routes.keys().next().value!);
 		}
@@ -86,7 +94,7 @@
 	}
 }
 
-function addSample(mean: RunningMean, sample: number): void {
+function addSample(mean: RunningMean, sample: number, minWeight: number): void {
 	mean.count++;
-	mean.value += (sample - mean.value) * Math.max(minSampleWeight, 1 / mean.count);
+	mean.value += (sample - mean.value) * Math.max(minWeight, 1 / mean.count);
 }
--- a/packages/upstreams/src/sidecar-call.ts
+++ b/packages/upstreams/src/sidecar-call.ts
@@ -184,7 +184,7 @@
 			const result = await this.#runAdmitted();
 			isAccepted = result.kind !== 'refused' || result.refusal.cause !== refusalCauses.upstream;
 			if (result.kind !== 'refused') {
-				this.#recordSummary('run', {transit: times.transit, wait: admittedAt - admittedFrom, slot: clock.now() - admittedAt});
+				this.#recordSummary(admission.isTrial ? 'trial' : 'run', {transit: times.transit, wait: admittedAt - admittedFrom, slot: clock.now() - admittedAt});
 			}
 
 			return result;
--- a/packages/upstreams/src/wait-estimator.ts
+++ b/packages/upstreams/src/wait-estimator.ts
@@ -50,7 +50,7 @@
 			const {deadline, isExclusive, route} = queued.request;
 			const duration = serviceTimes.estimate(route);
 			const wait = Math.max(schedule.computeStart(isExclusive), rateLimit.computeWait(callsAhead));
-			if (now + wait + duration > deadline) {
+			if (now + wait + (queued.isTrial ? 0 : duration) > deadline) {
 				hopeless.push(queued);
 			} else {
 				schedule.add(duration, isExclusive);
