Soak: losses of power after which an upstream leaves under its old id, and silences of a whole service

Now an upstream loses power together with its node, starts again under its id, and leaves before its first heartbeat. All upstreams of a service fall silent for up to 5 s. Both are drawn from an offset of the seed of their own, so that the other events of a seed stay as they were.

--- a/packages/bench/src/soak-plan.ts
+++ b/packages/bench/src/soak-plan.ts
@@ -14,6 +14,9 @@
 /** Faults that go with load: a request that crashes upstreams, and a node that gets little processor time. They may end requests. */
 const loadFaults = ['crashing-request', 'slow-node'] as const;
 
+/** Losses of power, after which an upstream starts again under its identity and leaves at once, and silences of all upstreams of a service. They may end requests. */
+const serviceFaults = ['power-loss', 'service-silent'] as const;
+
 /** Faults in the responses of upstreams: refusals, late second copies (whole or broken off), own statuses that promise that nothing ran, losses, and statuses that HTTP does not have. Each may end the request that it hits, and no other. */
 export const responseFaultKinds = ['upstreams-refuse', 'late-copies', 'broken-copies', 'own-refusals', 'lost-responses', 'invalid-statuses'] as const;
 
@@ -39,6 +42,7 @@
 		| typeof upstreamKinds[number]
 		| typeof processFaults[number]
 		| typeof loadFaults[number]
+		| typeof serviceFaults[number]
 		| typeof callerKinds[number]
 		| typeof storeFaults[number];
 
@@ -108,6 +112,15 @@
 /** Offset of the seed from which these are drawn, so that they don't change the other events of a seed. */
 const responseSeedOffset = 3_000_003;
 
+/** Bounds of the time between two service faults, and their durations. */
+const minServiceFaultGapMs = 5000;
+const maxServiceFaultGapMs = 12_000;
+const minServiceFaultMs = 500;
+const maxServiceFaultMs = 5000;
+
+/** Offset of the seed from which service faults are drawn, so that they don't change the other events of a seed. */
+const serviceSeedOffset = 4_000_003;
+
 /** Share of the kinds of faults that a seed draws. */
 const faultShare = 0.4;
 
@@ -116,7 +129,8 @@
 
 /** Plans the events of a soak, in the order of their times. */
 export function buildSoakPlan(options: SoakPlanOptions): SoakEvent[] {
-	return [...buildDisturbances(options), ...buildUpstreamEvents(options), ...buildLoadFaults(options), ...buildResponseFaults(options)].toSorted((left, right) => left.at - right.at);
+	const builders = [buildDisturbances, buildUpstreamEvents, buildLoadFaults, buildResponseFaults, buildServiceFaults];
+	return builders.flatMap(build => build(options)).toSorted((left, right) => left.at - right.at);
 }
 
 function createRandom(seed: number): SeededRandom {
@@ -165,6 +179,24 @@
 	}
 }
 
+/** Plans service faults. */
+function buildServiceFaults({seed, duration, vmCount, hasFaults}: SoakPlanOptions): SoakEvent[] {
+	const random = createRandom(seed + serviceSeedOffset);
+	const events: SoakEvent[] = [];
+	let at = 0;
+	for (;;) {
+		at += chooseBetween(random, minServiceFaultGapMs, maxServiceFaultGapMs);
+		const event = {
+			at, kind: chooseOne<SoakEventKind>(random, serviceFaults), vm: chooseInteger(random, vmCount), duration: chooseBetween(random, minServiceFaultMs, maxServiceFaultMs),
+		};
+		if (!hasFaults || at + event.duration > duration - quietEndMs) {
+			return events;
+		}
+
+		events.push(event);
+	}
+}
+
 /** Plans load faults, and what callers do, of the kinds that the seed draws. */
 function buildLoadFaults({seed, duration, vmCount, hasFaults}: SoakPlanOptions): SoakEvent[] {
 	const random = createRandom(seed + loadSeedOffset);
@@ -209,7 +241,7 @@
 
 /** Returns whether a disturbance may end requests. */
 export function isProcessFault(kind: SoakEventKind): boolean {
-	return ([...processFaults, ...loadFaults] as readonly string[]).includes(kind);
+	return ([...processFaults, ...loadFaults, ...serviceFaults] as readonly string[]).includes(kind);
 }
 
 /** Returns whether a disturbance excuses no request in general: planned work, what upstreams ask for, callers that leave, and faults in single responses. */
