--- a/packages/quotas/src/test/quota-fleet.ts
+++ b/packages/quotas/src/test/quota-fleet.ts
@@ -1,5 +1,5 @@
 /** A fleet of nodes with quotas in virtual time, for the tests of the bound. */
-import {chooseInteger, type Random} from '@ebonylead/base/base.js';
+import {chooseInteger, type Clock, type Random} from '@ebonylead/base/base.js';
 import {SeededRandom} from '@ebonylead/base/random.js';
 import {MemberState, UpstreamState, type Member} from '@ebonylead/peers/generated/peers.js';
 import {EventClock} from '@ebonylead/stand-ins/event-clock.js';
@@ -35,7 +35,16 @@
 /** Admissions and refusals of an organisation in each step. `wronged` are refusals although its arrivals have conformed to its rate and burst for `memoryMs`. */
 type History = {readonly admitted: number[]; readonly refused: number[]; readonly wronged: number[]};
 
-type FleetNode = {readonly member: Member; quotaNode: QuotaNode; controller: AbortController; isUp: boolean; side: number};
+type FleetNode = {
+	readonly member: Member;
+	quotaNode: QuotaNode;
+	controller: AbortController;
+	isUp: boolean;
+	side: number;
+
+	/** Time in milliseconds until which the process stands still. */
+	frozenUntil: number;
+};
 
 export const bounds: QuotaBounds = {window: 5000, over: 0.1, slack: 20};
 const stepMs = 20;
@@ -80,9 +89,10 @@
 		const members = Array.from({length: options.nodes}, (_, index) => buildMember(index));
 		this.#ranked = rankHomes(members);
 		for (const member of members) {
-			this.nodes.push({
-				member, quotaNode: this.#createNode(member), controller: new AbortController(), isUp: false, side: 0,
-			});
+			const node: FleetNode = {
+				member, quotaNode: this.#createNode(member, () => node.frozenUntil), controller: new AbortController(), isUp: false, side: 0, frozenUntil: 0,
+			};
+			this.nodes.push(node);
 		}
 
 		for (const {name} of options.organisations) {
@@ -123,6 +133,11 @@
 		void this.#startNode(node, downMs);
 	}
 
+	/** Makes the process of a node stand still for a time in milliseconds. Its timers fire, and messages to it arrive, when it goes on. */
+	freeze(index: number, duration: number): void {
+		this.nodes[index]!.frozenUntil = this.clock.now() + duration;
+	}
+
 	/** Sets which nodes reach each other: those with the same number. */
 	setSides(chooseSide: (index: number) => number): void {
 		for (const [index, node] of this.nodes.entries()) {
@@ -169,9 +184,9 @@
 		for (let arrival = 0; arrival < count; arrival++) {
 			const offset = name.length * 7;
 			const index = (Math.floor(this.nodes.length * (this.#random.next() ** skew)) + offset) % this.nodes.length;
-			const {quotaNode, isUp} = this.nodes[index]!;
-			// A request at a node that is not up, or that has just started, is not counted: it is not answered, or waits.
-			if (isUp && quotaNode.getFirstReply() === undefined) {
+			const {quotaNode, isUp, frozenUntil} = this.nodes[index]!;
+			// A request at a node that is not up, stands still, or has just started, is not counted: it is not answered, or waits.
+			if (isUp && now >= frozenUntil && quotaNode.getFirstReply() === undefined) {
 				const {isAdmitted} = quotaNode.gate.admit(name);
 				admitted += Number(isAdmitted);
 				refused += Number(!isAdmitted);
@@ -191,18 +206,18 @@
 
 	async #startNode(node: FleetNode, delay: number): Promise<void> {
 		await this.clock.sleep(delay);
-		node.quotaNode = this.#createNode(node.member);
+		node.quotaNode = this.#createNode(node.member, () => node.frozenUntil);
 		node.controller = new AbortController();
 		node.isUp = true;
 		node.quotaNode.setQuotas(this.#quotas);
 		void node.quotaNode.run(node.controller.signal);
 	}
 
-	#createNode(member: Member): QuotaNode {
+	#createNode(member: Member, getFrozenUntil: () => number): QuotaNode {
 		return new QuotaNode({
 			id: member.id,
 			bounds,
-			clock: this.clock,
+			clock: new FreezableClock(this.clock, getFrozenUntil),
 			random: new SeededRandom(chooseInteger(this.#random, 1_000_000)),
 			log: silent,
 			transport: {send: async (origin, text) => this.#send(member, origin, text)},
@@ -226,6 +241,12 @@
 				throw Object.assign(new Error('connect ECONNREFUSED'), {code: 'ECONNREFUSED'});
 			}
 
+			if (startedAt + sendTimeoutMs < to.frozenUntil) {
+				void this.#handleLate(to, text);
+				await this.clock.sleep(startedAt + sendTimeoutMs - this.clock.now());
+				throw new Error('no response in time');
+			}
+
 			const response = to.quotaNode.handleMessage(text);
 			this.bytes += response.length;
 			await this.clock.sleep(1 + (this.#random.next() * maxDelay));
@@ -237,6 +258,40 @@
 		await this.clock.sleep(startedAt + sendTimeoutMs - this.clock.now());
 		throw new Error('no response in time');
 	}
+
+	/** Lets a node handle a message when it goes on; nobody waits for the response any more. */
+	async #handleLate(node: FleetNode, text: string): Promise<void> {
+		await this.clock.sleep(node.frozenUntil - this.clock.now());
+		if (node.isUp) {
+			node.quotaNode.handleMessage(text);
+		}
+	}
+}
+
+/** Clock of a process that may stand still: the time passes, and what is due then happens when the process goes on. */
+class FreezableClock implements Clock {
+	readonly #clock: Clock;
+	readonly #getFrozenUntil: () => number;
+
+	constructor(clock: Clock, getFrozenUntil: () => number) {
+		this.#clock = clock;
+		this.#getFrozenUntil = getFrozenUntil;
+	}
+
+	now(): number {
+		return this.#clock.now();
+	}
+
+	wallTime(): number {
+		return this.#clock.wallTime();
+	}
+
+	async sleep(duration: number, signal?: AbortSignal): Promise<void> {
+		await this.#clock.sleep(duration, signal);
+		if (!signal?.aborted) {
+			await this.#clock.sleep(this.#getFrozenUntil() - this.#clock.now(), signal);
+		}
+	}
 }
 
 function buildMember(index: number): Member {
--- a/packages/quotas/src/test/quotas_test.ts
+++ b/packages/quotas/src/test/quotas_test.ts
@@ -11,6 +11,10 @@
 /** A large, a middle and a small organisation, which send 7.5 times their usual traffic from one moment to the next. */
 const surging = [0, 5, 30];
 
+/** Moments at which the home begins to stand still, in milliseconds from the growth on, and for how long it does. */
+const freezeOffsets = [-1000, -500, 0, 500, 1000, 2000];
+const freezeMs = 5000;
+
 /** Seconds of the rate that the burst holds; the bound is worked out for 0.5 and more. */
 const burstSeconds = 0.5;
 
@@ -105,6 +109,22 @@
 			});
 		}
 
+		// Guards against review/15: no node limited itself for 1.5 s, and the home that followed counted no debt for that time.
+		for (const nodes of [11, 88, 195]) {
+			it(`hold over ${nodes} nodes when the home stands still for 5 s as organisations grow`, async t => {
+				const worst = [];
+				for (const offset of freezeOffsets) {
+					const fleet = createFleet(nodes);
+					await fleet.advance(surgeFrom + offset);
+					fleet.freeze(fleet.homeIndex, freezeMs);
+					await fleet.advance(end - surgeFrom - offset);
+					worst.push({offset, window: computeWorst(fleet)});
+				}
+
+				t.deepEqual(worst.filter(({window}) => window > 1), []);
+			});
+		}
+
 		it('hold when each node of a part is alone', async t => {
 			const fleet = createFleet(88);
 			await fleet.advance(faultAt);
