--- a/packages/node/src/announcement-handler.ts
+++ b/packages/node/src/announcement-handler.ts
@@ -158,7 +158,7 @@
 	 * earlier ones with its identity. Returns whether this node knows one of them.
 	 */
 	async #applyLeave(instance: string, startedAt: number | undefined): Promise<boolean> {
-		const {newest, used} = {newest: this.#newest, used: this.#used};
+		const newest = this.#newest;
 		if (newest && isEndedBy(newest.stamp, instance, startedAt)) {
 			const leaving = buildLeaving(newest, startedAt);
 			this.#isUnconfirmed = false;
@@ -177,9 +177,11 @@
 		}
 
 		// While a newer process is unconfirmed, the one before it is still in use.
+		const used = this.#used;
 		if (used && isEndedBy(used.stamp, instance, startedAt)) {
-			this.#localUpstream.recordLeft(buildKey(buildLeaving(used, startedAt).stamp), 'the upstream');
-			await this.#recordLeave(buildLeaving(used, startedAt));
+			const leaving = buildLeaving(used, startedAt);
+			this.#localUpstream.recordLeft(buildKey(leaving.stamp), 'the upstream');
+			await this.#recordLeave(leaving);
 			return true;
 		}
 
