--- a/packages/base/src/bounded-text.ts
+++ b/packages/base/src/bounded-text.ts
@@ -15,7 +15,7 @@
 			throw new StepError('read', sender, `more than ${maxBytes} bytes`);
 		}
 
-		queue.append(part);
+		queue.add(part);
 	}
 
 	return queue.take().toString();
--- a/packages/base/src/byte-queue.ts
+++ b/packages/base/src/byte-queue.ts
@@ -30,11 +30,11 @@
 		return this.#heldBytes;
 	}
 
-	/** Appends a part. It may be kept without a copy, so its bytes must not change later. */
-	append(part: Uint8Array): void {
+	/** Adds a part. It may be kept without a copy, so its bytes must not change later. */
+	add(part: Uint8Array): void {
 		this.#length += part.length;
 		if (isKeptWithoutCopy(part)) {
-			this.#trimTail();
+			this.#closeShortTail();
 			this.#blocks.push(Buffer.from(part.buffer, part.byteOffset, part.length));
 			this.#heldBytes += part.buffer.byteLength;
 			return;
@@ -78,13 +78,13 @@
 		return this.#tail;
 	}
 
-	/** Closes a block that is not full without its unused bytes. */
-	#trimTail(): void {
+	/** Closes a block that is not full, without its unused bytes. */
+	#closeShortTail(): void {
 		if (this.#tail !== undefined) {
-			const trimmed = Buffer.allocUnsafeSlow(this.#tailBytes);
-			this.#tail.copy(trimmed, 0, 0, this.#tailBytes);
-			this.#heldBytes -= this.#tail.length - trimmed.length;
-			this.#tail = trimmed;
+			const used = Buffer.allocUnsafeSlow(this.#tailBytes);
+			this.#tail.copy(used, 0, 0, this.#tailBytes);
+			this.#heldBytes -= this.#tail.length - used.length;
+			this.#tail = used;
 			this.#closeTail();
 		}
 	}
--- a/packages/base/src/test/byte-queue_test.ts
+++ b/packages/base/src/test/byte-queue_test.ts
@@ -21,7 +21,7 @@
 			const parts = buildParts(sizes);
 			const queue = new ByteQueue();
 			for (const part of parts) {
-				queue.append(part);
+				queue.add(part);
 			}
 
 			t.is(queue.length, Buffer.concat(parts).length);
@@ -38,7 +38,7 @@
 		fc.assert(fc.property(partSizes, sizes => {
 			const queue = new ByteQueue();
 			for (const part of buildParts(sizes)) {
-				queue.append(part);
+				queue.add(part);
 			}
 
 			t.true(queue.heldBytes <= (2 * queue.length) + maxFixedBytes, `${queue.heldBytes} for ${queue.length}`);
@@ -50,8 +50,8 @@
 	it('keeps at most twice its bytes alive where large and small parts alternate', t => {
 		const queue = new ByteQueue();
 		for (let count = 0; count < 50; count++) {
-			queue.append(Buffer.alloc(32 * 1024).subarray(0, 16 * 1024));
-			queue.append(Buffer.alloc(1));
+			queue.add(Buffer.alloc(32 * 1024).subarray(0, 16 * 1024));
+			queue.add(Buffer.alloc(1));
 		}
 
 		t.true(queue.heldBytes <= (2 * queue.length) + maxFixedBytes);
@@ -60,17 +60,17 @@
 	it('does not keep the read alive that a part is a small view of', t => {
 		const queue = new ByteQueue();
 		const read = Buffer.alloc(1_000_000);
-		queue.append(read.subarray(0, 20_000));
+		queue.add(read.subarray(0, 20_000));
 		t.true(queue.heldBytes < 50_000);
 		t.true(queue.takeBlocks().every(block => block.buffer !== read.buffer));
 	});
 
 	it('accepts further parts after it was emptied', t => {
 		const queue = new ByteQueue();
-		queue.append(Buffer.from('ab'));
+		queue.add(Buffer.from('ab'));
 		t.is(String(queue.take()), 'ab');
-		queue.append(Buffer.from('c'));
-		queue.append(Buffer.from('d'));
+		queue.add(Buffer.from('c'));
+		queue.add(Buffer.from('d'));
 		t.is(String(queue.take()), 'cd');
 	});
 });
--- a/packages/node/src/announcement-handler.ts
+++ b/packages/node/src/announcement-handler.ts
@@ -88,7 +88,7 @@
 			return;
 		}
 
-		this.#use({announcement, stamp});
+		this.#applyAnnouncement({announcement, stamp});
 		if (announcement.state === 'draining' && before !== 'draining') {
 			await this.#recordLeave({announcement, stamp});
 		}
@@ -128,7 +128,7 @@
 			return;
 		}
 
-		this.#use({announcement: {...announcement, state: isReady ? 'ready' : 'draining'}, stamp});
+		this.#applyAnnouncement({announcement: {...announcement, state: isReady ? 'ready' : 'draining'}, stamp});
 	}
 
 	/** Handles the message of an upstream process that it has ended or is about to end. */
@@ -168,7 +168,7 @@
 				this.#used = leaving;
 			} else {
 				// It was not confirmed yet; its row must say that it leaves all the same.
-				this.#use(leaving);
+				this.#applyAnnouncement(leaving);
 			}
 
 			this.#localUpstream.recordLeft(buildKey(leaving.stamp), 'the upstream');
@@ -189,7 +189,7 @@
 	}
 
 	/** Applies the announcement of a process to the local upstream. The row follows the process, as the next process of this node compares leaves with it. */
-	#use(upstream: RecordedUpstream): void {
+	#applyAnnouncement(upstream: RecordedUpstream): void {
 		this.#used = upstream;
 		this.#localUpstream.applyAnnouncement(upstream.announcement);
 		if (!isSameProcess(upstream.stamp, this.#recorded)) {
@@ -213,7 +213,7 @@
 
 		if (condition === upstreamConditions.ready) {
 			this.#isUnconfirmed = false;
-			this.#use({announcement, stamp});
+			this.#applyAnnouncement({announcement, stamp});
 		} else if (condition === upstreamConditions.notReady) {
 			await this.#recordUnconfirmed(announcement);
 		}
--- a/packages/quotas/src/test/quota-fleet.ts
+++ b/packages/quotas/src/test/quota-fleet.ts
@@ -134,7 +134,7 @@
 	}
 
 	/** Makes the process of a node stand still for a time in milliseconds. Its timers fire, and messages to it arrive, when it goes on. */
-	freeze(index: number, duration: number): void {
+	pause(index: number, duration: number): void {
 		this.nodes[index]!.frozenUntil = this.clock.now() + duration;
 	}
 
--- a/packages/quotas/src/test/quotas_test.ts
+++ b/packages/quotas/src/test/quotas_test.ts
@@ -116,7 +116,7 @@
 				for (const offset of freezeOffsets) {
 					const fleet = createFleet(nodes);
 					await fleet.advance(surgeFrom + offset);
-					fleet.freeze(fleet.homeIndex, freezeMs);
+					fleet.pause(fleet.homeIndex, freezeMs);
 					await fleet.advance(end - surgeFrom - offset);
 					worst.push({offset, window: computeWorst(fleet)});
 				}
--- a/packages/upstreams/src/admission.ts
+++ b/packages/upstreams/src/admission.ts
@@ -182,7 +182,7 @@
 			start, isImmediate, isNested, slots: this.#slots,
 		};
 		const cause = this.#policy.findRefusalCause(request, expectedEnd, run);
-		const isTrial = cause !== undefined && this.#policy.canTry(request, run) && this.#trials.claim(request.route, this.#slots);
+		const isTrial = cause !== undefined && this.#policy.canTry(request, run) && this.#trials.admit(request.route, this.#slots);
 		if (cause !== undefined && !isTrial) {
 			const isLimited = !isImmediate && this.#estimator.isWaitForRate(request, priority, this.#slots);
 			return this.#buildRefusal(request, isLimited ? refusalCauses.rateLimit : cause);
--- a/packages/upstreams/src/forward.ts
+++ b/packages/upstreams/src/forward.ts
@@ -273,7 +273,7 @@
 	};
 
 	#bufferChunk(controller: Dispatcher.DispatchController, buffered: ByteQueue, chunk: Buffer): void {
-		buffered.append(chunk);
+		buffered.add(chunk);
 		if (buffered.length <= maxBufferedResponseBytes) {
 			return;
 		}
--- a/packages/upstreams/src/large-body.ts
+++ b/packages/upstreams/src/large-body.ts
@@ -132,7 +132,7 @@
 
 	readonly #handlePart = (part: Buffer) => {
 		const heldBefore = this.#readAhead.heldBytes;
-		this.#readAhead.append(part);
+		this.#readAhead.add(part);
 		this.#budget!.recordHeld(this.#readAhead.heldBytes - heldBefore);
 		if (this.#budget!.isSpent) {
 			this.#stopReadingAhead();
--- a/packages/upstreams/src/part-writer.ts
+++ b/packages/upstreams/src/part-writer.ts
@@ -35,7 +35,7 @@
 
 	/** Writes a part after those of the same read. */
 	write(part: Uint8Array): void {
-		this.#queue.append(part);
+		this.#queue.add(part);
 		if (!this.#isFlushPending) {
 			this.#isFlushPending = true;
 			process.nextTick(() => {
--- a/packages/upstreams/src/request-body.ts
+++ b/packages/upstreams/src/request-body.ts
@@ -71,7 +71,7 @@
 		};
 
 		const handleData = (chunk: Buffer) => {
-			queue.append(chunk);
+			queue.add(chunk);
 			if (queue.length > maxBytes) {
 				request.pause();
 				finish(new LargeBody(queue.take(), request));
--- a/packages/upstreams/src/route-trials.ts
+++ b/packages/upstreams/src/route-trials.ts
@@ -37,8 +37,8 @@
 		this.#clock = clock;
 	}
 
-	/** Starts a trial of a route and returns true, or returns false if none may start now. Each started one needs a call of `recordEnd`. */
-	claim(route: string, slots: number): boolean {
+	/** Admits a trial of a route and returns true, or returns false if none may start now. Each admitted one needs a call of `recordEnd`. */
+	admit(route: string, slots: number): boolean {
 		const state = this.#routes.get(route);
 		const maxPending = Math.max(1, Math.floor(slots * maxSlotShare));
 		if (this.#pendingCount >= maxPending || (state !== undefined && (state.isPending || this.#clock.now() < state.nextAt))) {
