--- a/packages/callers/src/test/invalid-status_test.ts
+++ b/packages/callers/src/test/invalid-status_test.ts
@@ -1,8 +1,8 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {it} from '@ebonylead/stand-ins/describe.js';
+import {itSerially} from '@ebonylead/stand-ins/describe.js';
 import {call, describeOnBothPaths} from './call-helpers.js';
 
-/** Longest time in milliseconds for an attempt whose response is recognised by its status; calls have seconds. */
+/** Longest time in milliseconds for an attempt whose response is recognised by its status; calls have seconds. The tests run one at a time, as all of them at once take that long together. */
 const promptMs = 900;
 
 /** Status lines of no final response of HTTP, nor of an interim one to a request without `Upgrade`. */
@@ -27,7 +27,7 @@
 		for (const [name, rest] of Object.entries(bodies)) {
 			const bytes = `HTTP/1.1 ${statusText}\r\nServer-Signature: x\r\n${rest}`;
 
-			it(`is no answer to a call that may run once: ${statusText}, ${name}`, async t => {
+			itSerially(`is no answer to a call that may run once: ${statusText}, ${name}`, async t => {
 				await withHarness(async harness => {
 					const vm = await harness.addVm((incoming, response) => {
 						sendRaw(bytes, incoming, response);
@@ -40,7 +40,7 @@
 				});
 			});
 
-			it(`sends an idempotent call to another upstream at once, and ends the connection: ${statusText}, ${name}`, async t => {
+			itSerially(`sends an idempotent call to another upstream at once, and ends the connection: ${statusText}, ${name}`, async t => {
 				await withHarness(async harness => {
 					const sockets = new Set<unknown>();
 					const state = {isFaulty: true};
