--- a/packages/base/src/byte-queue.ts
+++ b/packages/base/src/byte-queue.ts
@@ -1,7 +1,7 @@
 /** Holds bytes that arrive in parts of any size. */
 import {Buffer} from 'node:buffer';
 
-/** Sizes of the blocks that small parts are copied into, in bytes; each block is as large as what is held before it, within these bounds. */
+/** Sizes of the blocks that small parts are copied into, in bytes; each block is as large as what is held before it, or as the part that opens it, within these bounds. */
 const minBlockBytes = 1024;
 const maxBlockBytes = 16 * 1024;
 
@@ -42,7 +42,7 @@
 
 		let offset = 0;
 		while (offset < part.length) {
-			const tail = this.#tail ?? this.#openTail();
+			const tail = this.#tail ?? this.#openTail(part.length - offset);
 			const count = Math.min(part.length - offset, tail.length - this.#tailBytes);
 			tail.set(part.subarray(offset, offset + count), this.#tailBytes);
 			offset += count;
@@ -69,8 +69,8 @@
 		return blocks.length === 1 ? blocks[0]! : Buffer.concat(blocks);
 	}
 
-	#openTail(): Buffer {
-		const size = Math.min(maxBlockBytes, Math.max(minBlockBytes, this.#heldBytes));
+	#openTail(neededBytes: number): Buffer {
+		const size = Math.min(maxBlockBytes, Math.max(minBlockBytes, this.#heldBytes, neededBytes));
 		// Not from the pool of Node, whose slabs are shared with others and live as long as any part of them.
 		this.#tail = Buffer.allocUnsafeSlow(size);
 		this.#tailBytes = 0;
--- a/packages/base/src/test/byte-queue_test.ts
+++ b/packages/base/src/test/byte-queue_test.ts
@@ -57,6 +57,14 @@
 		t.true(queue.heldBytes <= (2 * queue.length) + maxFixedBytes);
 	});
 
+	it('returns a part of a usual size in one block', t => {
+		for (const size of [1, 1500, 12_000, 16_384, 65_536]) {
+			const queue = new ByteQueue();
+			queue.add(Buffer.alloc(size));
+			t.is(queue.takeBlocks().length, 1, `${size}`);
+		}
+	});
+
 	it('does not keep the read alive that a part is a small view of', t => {
 		const queue = new ByteQueue();
 		const read = Buffer.alloc(1_000_000);
--- a/packages/node/src/test/announcement-orders_test.ts
+++ b/packages/node/src/test/announcement-orders_test.ts
@@ -47,6 +47,7 @@
 	isSilent = false;
 	living: UpstreamProcess | undefined;
 	readonly late: Message[] = [];
+	copy = this.store.createCopy();
 	#node = this.#startNode();
 
 	get state(): string {
@@ -199,6 +200,13 @@
 	fc.boolean().map(isDown => buildStep(isDown ? 'store down' : 'store up', async world => {
 		world.store.isDown = isDown;
 	})),
+	fc.constant(buildStep('copy store', async world => {
+		world.copy = world.store.createCopy();
+	})),
+	fc.constant(buildStep('restore store', async world => {
+		world.store.restoreCopy(world.copy);
+		await world.advance(0);
+	})),
 	fc.boolean().map(isSilent => buildStep(isSilent ? 'silent' : 'answering', async world => {
 		world.isSilent = isSilent;
 	})),
--- a/packages/upstreams/src/admission.ts
+++ b/packages/upstreams/src/admission.ts
@@ -11,7 +11,7 @@
 import {RouteTrials} from './route-trials.js';
 import {RunningCalls} from './running-calls.js';
 import {PriorityUsage, ServiceTimes} from './service-times.js';
-import {isNestedCall} from './nested-calls.js';
+import {isNestedRequest} from './nested-calls.js';
 import {refusalCauses} from './upstreams.js';
 import {WaitEstimator} from './wait-estimator.js';
 
@@ -135,6 +135,11 @@
 		return rate === undefined ? slotEstimates : {...slotEstimates, rateLimit: rate, requestWait: Math.round(this.#rateLimit.computeWait())};
 	}
 
+	/** Describes what calls of a route are judged by, for the log: their mean duration, and the time since one started or ended, in milliseconds. */
+	describeRoute(route: string): {readonly routeMean: number; readonly routeAge: number | undefined} {
+		return {routeMean: Math.round(this.#serviceTimes.estimate(route)), routeAge: this.#trials.findAge(route)};
+	}
+
 	/** Sets the limit of the upstream in requests per second, or removes it; running calls are not affected. */
 	setRateLimit(rate: number | undefined): void {
 		this.#rateLimit.setRate(rate);
@@ -173,7 +178,7 @@
 			return this.#buildRefusal(request, refusalCauses.cancelled);
 		}
 
-		const isNested = this.#isNested(request);
+		const isNested = isNestedRequest(request, this.#clock.now());
 		const priority = isNested ? nestedCallPriority : request.priority;
 		const isImmediate = this.#queue.length === 0 && this.#canStart(request);
 		const start = this.#clock.now() + (isImmediate ? 0 : this.#estimator.estimateWait(request, priority, this.#slots));
@@ -379,12 +384,6 @@
 		return isTrial ? 0 : this.#serviceTimes.estimate(request.route);
 	}
 
-	/** Whether only the deadline of the call is considered. */
-	#isNested({deadline, objective}: AdmissionRequest): boolean {
-		const now = this.#clock.now();
-		return isNestedCall(deadline - now, objective - now);
-	}
-
 	/** Computes the number of slots that an upstream with a limit keeps busy. */
 	#computeEffectiveSlots(rate: number): number {
 		const busySlots = this.#serviceTimes.hasSamples ? rate * this.#serviceTimes.mean / millisecondsPerSecond : this.#slots;
@@ -392,7 +391,7 @@
 	}
 
 	#buildRefusal(request: AdmissionRequest, cause: AdmissionRefusalCause): Admission {
-		const wait = this.#estimator.estimateWait(request, this.#isNested(request) ? nestedCallPriority : request.priority, this.#slots);
+		const wait = this.#estimator.estimateWait(request, isNestedRequest(request, this.#clock.now()) ? nestedCallPriority : request.priority, this.#slots);
 		const state = {isAboveShare: this.#queue.isNewAboveShare(request), isContended: this.#policy.isContended(request.priority, this.#slots)};
 		return {kind: 'refused', refusal: buildAdmissionRefusal(cause, Math.max(minRetryAfterMs, Math.ceil(wait)), state)};
 	}
--- a/packages/upstreams/src/local-upstream.ts
+++ b/packages/upstreams/src/local-upstream.ts
@@ -277,7 +277,7 @@
 
 		this.#addLeft(this.incarnation);
 		if (this.status.value.state === 'ready') {
-			this.#log.info({incarnation, known: this.incarnation, source}, 'The upstream leaves');
+			this.#log.info({instance: this.instance, incarnation, source}, 'The upstream leaves');
 			this.#setState('draining');
 		}
 	}
--- a/packages/upstreams/src/nested-calls.ts
+++ b/packages/upstreams/src/nested-calls.ts
@@ -13,3 +13,8 @@
 export function isNestedCall(timeLeft: number, objectiveLeft: number): boolean {
 	return timeLeft <= maxNestedCallMs && objectiveLeft > 1;
 }
+
+/** Returns whether only the deadline of a call is considered, as an upstream has probably made it. */
+export function isNestedRequest({deadline, objective}: {readonly deadline: number; readonly objective: number}, now: number): boolean {
+	return isNestedCall(deadline - now, objective - now);
+}
--- a/packages/upstreams/src/route-trials.ts
+++ b/packages/upstreams/src/route-trials.ts
@@ -16,6 +16,9 @@
 
 	/** Monotonic time in milliseconds from which on a trial may start. */
 	nextAt: number;
+
+	/** Monotonic time in milliseconds at which a call of the route started or ended last. */
+	usedAt: number;
 };
 
 /**
@@ -46,13 +49,13 @@
 		}
 
 		this.#pendingCount++;
-		this.#set(route, {isPending: true, nextAt: 0});
+		this.#set(route, true, 0);
 		return true;
 	}
 
 	/** Records that a call that is no trial has started or ended: the mean of its route is not stale. */
 	recordCall(route: string): void {
-		this.#set(route, {isPending: this.#routes.get(route)?.isPending ?? false, nextAt: this.#clock.now() + maxAgeMs});
+		this.#set(route, this.#routes.get(route)?.isPending ?? false, this.#clock.now() + maxAgeMs);
 	}
 
 	/**
@@ -62,12 +65,18 @@
 	 */
 	recordEnd(route: string, isConclusive: boolean): void {
 		this.#pendingCount--;
-		this.#set(route, {isPending: false, nextAt: isConclusive ? this.#clock.now() + maxAgeMs : 0});
+		this.#set(route, false, isConclusive ? this.#clock.now() + maxAgeMs : 0);
+	}
+
+	/** Returns the milliseconds since a call of a route started or ended; undefined if none is remembered. */
+	findAge(route: string): number | undefined {
+		const state = this.#routes.get(route);
+		return state && this.#clock.now() - state.usedAt;
 	}
 
-	#set(route: string, state: RouteState): void {
+	#set(route: string, isPending: boolean, nextAt: number): void {
 		this.#routes.delete(route);
-		this.#routes.set(route, state);
+		this.#routes.set(route, {isPending, nextAt, usedAt: this.#clock.now()});
 		if (this.#routes.size > maxRoutes) {
 			this.#routes.delete(this.#routes.keys().next().value!);
 		}
--- a/packages/upstreams/src/sidecar-call.ts
+++ b/packages/upstreams/src/sidecar-call.ts
@@ -176,6 +176,10 @@
 			return this.refuse(admission.refusal);
 		}
 
+		if (admission.isTrial) {
+			this.#dependencies.refusalMetrics?.recordTrial();
+		}
+
 		this.#request.onAdmitted();
 		let isAccepted = true;
 		try {
@@ -210,7 +214,7 @@
 			objective,
 			running: localUpstream.admission.running,
 			waiting: localUpstream.admission.waiting,
-			estimates: localUpstream.admission.estimates,
+			estimates: {...localUpstream.admission.estimates, ...localUpstream.admission.describeRoute(this.#request.route)},
 			deadline: times.deadline,
 			transit: Math.round(times.transit),
 			duration: Math.round(times.duration),
--- a/packages/upstreams/src/test/admission-trials_test.ts
+++ b/packages/upstreams/src/test/admission-trials_test.ts
@@ -17,12 +17,16 @@
 
 type CallOptions = {readonly route: string; readonly timeLeft: number; readonly objective?: number; readonly priority?: number; readonly duration?: number};
 
+/** Time for which calls are sent that can't end in time, in milliseconds. */
+const hopelessMs = 10_000;
+
 /** An upstream whose calls take a time that the test sets, with admission control, in virtual time. */
 class World {
 	readonly clock = new EventClock();
 	readonly control = new AdmissionControl(this.clock, slots);
 	duration = soundMs;
 	maxRunning = 0;
+	admittedCount = 0;
 
 	/** Sends a call; resolves to whether it was served in time. At its deadline it is cancelled. */
 	async send({route, timeLeft, objective = timeLeft, priority = 1, duration = this.duration}: CallOptions): Promise<boolean> {
@@ -44,6 +48,7 @@
 			return false;
 		}
 
+		this.admittedCount++;
 		this.maxRunning = Math.max(this.maxRunning, control.running);
 		await clock.sleep(duration, ending.signal);
 		const isInTime = !cancellation.isCancelled;
@@ -112,15 +117,18 @@
 		t.true(served.slice(Math.ceil(maxRefusedMs / arrivalIntervalMs) + 1).every(Boolean), JSON.stringify(served));
 	});
 
-	it('lets few calls through while it is right', async t => {
+	it('lets one call a second through while it is right, and refuses all others at once', async t => {
 		const world = new World();
 		await playSilence(world, 'r', 1000);
 		world.duration = 60_000;
 		await world.advance(2000);
 		world.maxRunning = 0;
-		const served = await world.sendSteadily({route: 'r', timeLeft: timeLeftMs}, 10, 10_000);
+		world.admittedCount = 0;
+		const served = await world.sendSteadily({route: 'r', timeLeft: timeLeftMs}, 10, hopelessMs);
 		t.false(served.some(Boolean));
 		t.is(world.maxRunning, 1);
+		// Each runs until its deadline, and the next one waits a second.
+		t.true(world.admittedCount <= Math.ceil(hopelessMs / (1000 + timeLeftMs)) + 1, `${world.admittedCount} were admitted`);
 	});
 
 	it('does not let late calls through while calls of the route run', async t => {
--- a/packages/upstreams/src/test/refusal-metrics_test.ts
+++ b/packages/upstreams/src/test/refusal-metrics_test.ts
@@ -4,6 +4,14 @@
 import {outcomes, refusalCauses} from '../upstreams.js';
 
 describe('refusal metrics', () => {
+	it('count trials', async t => {
+		const registry = new Registry();
+		const metrics = new RefusalMetrics(registry);
+		t.regex(await registry.metrics(), /^ebonylead_trials_total 0$/mv);
+		metrics.recordTrial();
+		t.regex(await registry.metrics(), /^ebonylead_trials_total 1$/mv);
+	});
+
 	it('count refusals by cause and outcome', async t => {
 		const registry = new Registry();
 		const metrics = new RefusalMetrics(registry);
