--- a/packages/callers/src/test/caller-bodies_test.ts
+++ b/packages/callers/src/test/caller-bodies_test.ts
@@ -68,6 +68,26 @@
 		}
 	});
 
+	it('are read no faster than an upstream takes them', async t => {
+		const {reading, request} = await readBody(8, new ReadAheadBudget(0));
+		const body = await reading as LargeBody;
+		const copy = body.open();
+		body.sendRest(copy);
+		// Nobody reads the copy yet.
+		for (let count = 0; count < 50; count++) {
+			request.write(Buffer.alloc(partBytes));
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		}
+
+		t.true(copy.writableLength + copy.readableLength < 20 * partBytes, `${copy.writableLength + copy.readableLength} bytes are held`);
+		const sent = buffer(copy);
+		request.end();
+		const {length} = await sent;
+		t.is(length, 58 * partBytes);
+	});
+
 	it('beyond the budget are left unread, and sent without a wait', async t => {
 		const budget = new ReadAheadBudget(budgetBytes);
 		const {reading, request} = await readBody(16, budget);
--- a/packages/upstreams/src/test/admission-trials_test.ts
+++ b/packages/upstreams/src/test/admission-trials_test.ts
@@ -81,6 +81,13 @@
 	world.duration = soundMs;
 }
 
+/** Plays the same on one of two routes, and leaves one slot. */
+async function playSilenceOfOne(world: World): Promise<void> {
+	await playSilence(world, 'r', 2000);
+	world.control.setSlots(1);
+	await world.sendSteadily({route: 'other', timeLeft: 4000, duration: 200}, 250, 10_000);
+}
+
 describe('admission of a route whose mean duration is too long for its calls', () => {
 	// Guards against review/13: such a route was never served, as nothing was admitted that would have given it a mean of its own.
 	it('serves a route that was added beside a slow one', async t => {
@@ -117,6 +124,39 @@
 		t.true(served.slice(Math.ceil(maxRefusedMs / arrivalIntervalMs) + 1).every(Boolean), JSON.stringify(served));
 	});
 
+	it('uses all slots again after some calls, each of which may follow at once', async t => {
+		const world = new World();
+		await playSilence(world, 'r', 8000);
+		await world.advance(2000);
+		for (let count = 0; count < 5; count++) {
+			t.true(await Promise.race([world.send({route: 'r', timeLeft: timeLeftMs}), world.advance(timeLeftMs)]));
+		}
+
+		const served = Array.from({length: slots}, async () => world.send({route: 'r', timeLeft: timeLeftMs}));
+		await world.advance(timeLeftMs);
+		t.deepEqual(new Set(await Promise.all(served)), new Set([true]));
+	});
+
+	it('serves it also where the call has to wait for a slot', async t => {
+		const world = new World();
+		await playSilenceOfOne(world);
+		void world.send({route: 'other', timeLeft: 4000, duration: 200});
+		const waiting = world.send({route: 'r', timeLeft: timeLeftMs});
+		await world.advance(timeLeftMs);
+		t.true(await waiting);
+	});
+
+	it('lets no late call through as a trial while calls in time lack slots', async t => {
+		const world = new World();
+		await playSilenceOfOne(world);
+		void world.send({route: 'other', timeLeft: 4000, duration: 200});
+		t.false(await world.send({route: 'other', timeLeft: 4000, objective: 250}), 'lacks a slot');
+		const late = world.send({route: 'r', timeLeft: 1500, objective: 0});
+		const isDecided = await Promise.race([late.then(() => true), world.advance(1).then(() => false)]);
+		t.true(isDecided, 'is refused at once');
+		t.false(await late);
+	});
+
 	it('lets one call a second through while it is right, and refuses all others at once', async t => {
 		const world = new World();
 		await playSilence(world, 'r', 1000);
--- a/packages/upstreams/src/test/announcement-order_test.ts
+++ b/packages/upstreams/src/test/announcement-order_test.ts
@@ -63,6 +63,7 @@
 			t.true(order.accept({...first, startedAt: 2001, sequence: 1}));
 			order.recordEnd('i-1', 1000, 6000);
 			t.true(order.accept({...first, startedAt: 2001, sequence: 2}));
+			t.true(order.hasEnded({...first, startedAt: 2000}), 'an earlier end, late, does not undo a later one');
 		});
 
 		it('accepts the other one if no start time is announced', t => {
--- a/packages/upstreams/src/test/forward_test.ts
+++ b/packages/upstreams/src/test/forward_test.ts
@@ -7,6 +7,9 @@
 import {Cancellation} from '../cancellation.js';
 import {forwardRequest, type ForwardResult} from '../forward.js';
 
+/** Longest response of a test in bytes. */
+const maxResponseBytes = 64 * 1024 * 1024;
+
 /** Plays the events of an exchange. */
 type Play = (handler: Dispatcher.DispatchHandler, controller: Dispatcher.DispatchController) => void;
 
@@ -54,7 +57,7 @@
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
 	const {body} = await request(`http://127.0.0.1:${(server.address() as AddressInfo).port}`);
-	await body.dump();
+	await body.dump({limit: maxResponseBytes});
 	server.close();
 	return results[0]!;
 }
@@ -83,6 +86,26 @@
 		}
 	});
 
+	it('is paused while its client does not take more, and resumed then', async t => {
+		const calls: string[] = [];
+		await forwardTo((handler, controller) => {
+			Object.assign(controller, {
+				pause() {
+					calls.push('pause');
+				},
+				resume() {
+					calls.push('resume');
+					handler.onResponseEnd!(controller, {});
+				},
+			});
+			handler.onResponseStart!(controller, 200, {'transfer-encoding': 'chunked'}, 'OK');
+			for (let count = 0; count < 200; count++) {
+				handler.onResponseData!(controller, Buffer.alloc(64 * 1024));
+			}
+		});
+		t.deepEqual(calls, ['pause', 'resume']);
+	});
+
 	// Guards against review/11: each part of one byte was an object in the buffer of the connection.
 	it('passes parts of one byte on in few writes', async t => {
 		const partCount = 400_000;
